--- /dev/null
+++ b/micahold/__init__.py
@@ -0,0 +1,1 @@
+"""micahold: an admission controller for queries on a pool of engines."""
--- /dev/null
+++ b/micahold/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the simulator's wire: codec, instance host, entry point."""
--- /dev/null
+++ b/micahold/benchlink/__main__.py
@@ -0,0 +1,29 @@
+"""Reads batches from standard input and writes one reply a line until the input ends."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+from micahold.benchlink.codec import WireError
+from micahold.benchlink.host import Host, complain
+
+
+def main() -> int:
+    """0 at the end of input, 1 after a line that is no legal batch."""
+    host = Host()
+    for number, line in enumerate(sys.stdin.buffer, start=1):
+        if not line.strip():
+            continue
+        try:
+            reply = host.answer(json.loads(line))
+        except (ValueError, RecursionError, WireError) as error:
+            complain(f"line {number} is not a legal batch: {error}")
+            return 1
+        sys.stdout.write(json.dumps(reply, separators=(",", ":")) + "\n")
+        sys.stdout.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
