--- a/micahold/benchlink/codec.py
+++ b/micahold/benchlink/codec.py
@@ -146,7 +146,9 @@
             for index, name in enumerate(env.get("models") or [])
         )
         tenants = tuple(
-            api.Tenant(str(one.get("name", "")), float(one.get("share", 1.0)), float(one.get("quota_per_s", 0.0)))
+            api.Tenant(
+                str(one.get("name", "")), float(one.get("share", 1.0)), float(one.get("quota_per_s", 0.0))
+            )
             for one in env.get("tenants") or []
         )
         classes = tuple(_query_class(index, item, env) for index, item in enumerate(env.get("classes") or []))
--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -9,7 +9,7 @@
 import math
 from collections import deque
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from heapq import heappop, heappush
 from random import Random
@@ -40,16 +40,18 @@
 LineId = tuple[bool, int, int, bool]  # late, tenant, class, tried before
 
 
-class WeightedMean:
-    """Mean over about ``LEARN_RUNS`` runs, weighted by cost: both sums fade alike."""
+def middle(values: Sequence[float]) -> float:
+    return sorted(values)[len(values) // 2]
 
-    __slots__ = ("total", "weight")
 
-    def __init__(self) -> None:
-        self.total = 0.0
-        self.weight = 0.0
+@dataclass(slots=True)
+class WeightedMean:
+    """Mean over about the last ``LEARN_RUNS`` runs; the sum and its weight fade alike."""
+
+    total: float = 0.0
+    weight: float = 0.0
 
-    def learn(self, value: float, weight: float) -> None:
+    def learn(self, value: float, weight: float = 1.0) -> None:
         keep = 1.0 - 1.0 / LEARN_RUNS
         self.total = self.total * keep + value * weight
         self.weight = self.weight * keep + weight
@@ -68,11 +70,10 @@
     class_index: int
     tenant: int
     deadline: float
-    arrived: float
     key: int | None
     tables: int
+    told: bool
     cost: float
-    memory_mb: float
     price: float = 0.0
     aim: float = 0.0
     attempts: int = 0
@@ -85,6 +86,9 @@
     may_have_run: list[tuple[float, api.EngineEntry]] = field(default_factory=list)
     tried: set[str] = field(default_factory=set)
 
+    def waiting(self) -> bool:
+        return not self.done and self.engine is None
+
 
 class Calibration:
     """Prices: the told cost, or the class's learned mean, times the factor of class and table group."""
@@ -96,21 +100,16 @@
         self.class_cost = [WeightedMean() for _ in classes]
         self.class_unit = [WeightedMean() for _ in classes]
         self.best: list[float | None] = [None] * len(classes)
-        self.runs = [0] * len(classes)
         self.usual = [kind.aim / 2 for kind in classes]
         self.mean_price = WeightedMean()
+        self.mean_worth = WeightedMean()
 
     def cost(self, class_index: int, told: float | None) -> float:
-        if told:
-            return told
-        learned = self.class_cost[class_index]
-        return learned.mean if learned.weight else self.classes[class_index].aim
+        return told or self.class_cost[class_index].mean or self.classes[class_index].aim
 
     def price(self, query: Query) -> float:
         group = self.groups.get((query.class_index, query.tables))
-        if group is None or not self.all.weight:
-            return query.cost
-        factor = math.exp(group.mean - self.all.mean)
+        factor = math.exp(group.mean - self.all.mean) if group is not None else 1.0
         return query.cost * min(FACTOR_LIMIT, max(1 / FACTOR_LIMIT, factor))
 
     def expected(self, query: Query) -> float:
@@ -118,22 +117,19 @@
         unit = self.best[query.class_index] or 0.0
         return query.cost * math.exp(unit) / query.kind.threads
 
-    def learn(self, query: Query, elapsed: float, told_cost: bool, engine_pace: float) -> None:
+    def learn(self, query: Query, elapsed: float, engine_pace: float) -> None:
         """One run that ended well; the engine's own pace is taken out, so a slow one inflates no price."""
         index = query.class_index
         seconds = elapsed * query.kind.threads
-        if not told_cost:
-            self.class_cost[index].learn(seconds / max(1.0, engine_pace), 1.0)
+        if not query.told:
+            self.class_cost[index].learn(seconds / max(1.0, engine_pace))
         unit = math.log(max(seconds, 1e-6) / max(query.cost, 1e-6))
-        self.class_unit[index].learn(unit, 1.0)
+        self.class_unit[index].learn(unit)
         self.usual[index] += (elapsed - self.usual[index]) / LEARN_RUNS
-        self.runs[index] += 1
-        if self.runs[index] >= LEARN_RUNS // 2:
-            mean = self.class_unit[index].mean
-            best = self.best[index]
-            self.best[index] = mean if best is None else min(best, mean)
+        if self.class_unit[index].weight >= LEARN_RUNS / 3:
+            self.best[index] = min(self.class_unit[index].mean, self.best[index] or math.inf)
         paced = unit - math.log(engine_pace)
-        self.groups.setdefault((index, query.tables), WeightedMean()).learn(paced, 1.0)
+        self.groups.setdefault((index, query.tables), WeightedMean()).learn(paced)
         self.all.learn(paced, query.cost)
 
     def drift(self, passed: float) -> None:
@@ -142,45 +138,31 @@
                 self.best[index] = min(best + BEST_DRIFT * passed, self.class_unit[index].mean)
 
 
-class TokenBucket:
-    """A tenant's budget; it may be owed to, and fills at its rate up to its burst."""
-
-    __slots__ = ("level", "rate", "at")
+class Account:
+    """A tenant's token bucket, which may go into debt, and its use of late, which fades by half-life."""
 
-    def __init__(self) -> None:
-        self.level = 0.0
+    def __init__(self, share: float) -> None:
+        self.share = max(share, 1e-9)
         self.rate = 0.0
+        self.level = 0.0
+        self.use = 0.0
         self.at: float | None = None
 
-    def fill(self, now: float, rate: float) -> None:
+    def advance(self, now: float, rate: float) -> None:
         if self.at is None:
-            self.level = rate * BURST_S
-        else:
-            self.level = min(rate * BURST_S, self.level + self.rate * (now - self.at))
-        self.rate, self.at = rate, now
+            self.level, self.at = rate * BURST_S, now
+        passed, self.at, self.rate = now - self.at, now, rate
+        self.level = min(rate * BURST_S, self.level + rate * passed)
+        self.use *= 0.5 ** (passed / USE_HALF_LIFE_S)
 
-    def owes(self) -> bool:
-        return self.level < 0
+    def charge(self, price: float) -> None:
+        self.level -= price
+        self.use += price
 
     def debt_time(self) -> float:
         return max(0.0, -self.level) / self.rate if self.rate > 0 else 0.0
 
 
-class Use:
-    """What a tenant was charged of late, fading by half-life."""
-
-    __slots__ = ("value", "at")
-
-    def __init__(self) -> None:
-        self.value = 0.0
-        self.at = 0.0
-
-    def read(self, now: float) -> float:
-        self.value *= 0.5 ** ((now - self.at) / USE_HALF_LIFE_S)
-        self.at = now
-        return self.value
-
-
 class RetryBudget:
     """Further attempts within the rationed window; no ration where the window is 0."""
 
@@ -190,22 +172,21 @@
         self.extra: deque[float] = deque()
 
     def take(self, now: float) -> None:
-        if self.rules.retry_window > 0:
-            self.taken.append(now)
+        self.taken.append(now)
+        self.forget(now)
 
     def allows(self, now: float) -> bool:
-        window = self.rules.retry_window
-        if window <= 0:
-            return True
-        while self.taken and self.taken[0] <= now - window + TICK_S:
+        self.forget(now)
+        most = self.rules.retry_free + self.rules.retry_share * len(self.taken)
+        return self.rules.retry_window <= 0 or len(self.extra) + 1 <= most
+
+    def forget(self, now: float) -> None:
+        """Taken queries leave the window a bit early, attempts a bit late: an edge breaks no rule."""
+        since = now - self.rules.retry_window
+        while self.taken and self.taken[0] <= since + TICK_S:
             self.taken.popleft()
-        while self.extra and self.extra[0] < now - window - TICK_S:
+        while self.extra and self.extra[0] < since - TICK_S:
             self.extra.popleft()
-        return len(self.extra) + 1 <= self.rules.retry_free + self.rules.retry_share * len(self.taken)
-
-    def spend(self, now: float) -> None:
-        if self.rules.retry_window > 0:
-            self.extra.append(now)
 
 
 class EngineView:
@@ -233,7 +214,7 @@
         self.cores = told or 1.0
 
     def is_cold(self, now: float) -> bool:
-        return 0 < self.entry.started and now < self.entry.started + self.settings.rules.cold_time
+        return self.entry.started > 0 and now < self.entry.started + self.settings.rules.cold_time
 
     def cold_room(self, now: float, work: float) -> bool:
         """Rule 4, kept alone: this gateway's part of what a cold engine takes in any window."""
@@ -285,10 +266,8 @@
         self.silent = False
         for query in self.out.values():
             due = PATIENCE * query.expected * math.exp(max(0.0, self.slow)) + TRIAL_GAP_S
-            if note_period > 0:
-                due = min(due, 2 * note_period)
-            if now - max(query.sent, self.sign) > max(due, 2 * note_period):
-                self.silent = True
+            due = 2 * note_period if note_period > 0 else due
+            self.silent = self.silent or now - max(query.sent, self.sign) > due
 
 
 class Router:
@@ -304,56 +283,42 @@
         known = self.orders.get(tables)
         if known is None:
             ranked = sorted(
-                (blake2b(f"{tables}:{name}".encode(), digest_size=8).digest(), name) for name in self.engines
+                (blake2b(f"{tables}:{name}".encode(), digest_size=8).digest(), name)
+                for name, view in self.engines.items()
+                if view.entry.state is not api.EngineState.GONE
             )
             known = self.orders[tables] = [self.engines[name] for _, name in ranked]
         return known
 
     def update(self, now: float, news: api.ListUpdate) -> None:
-        if news.kind is api.ListKind.UNAVAILABLE:
-            return
-        if news.kind is not api.ListKind.CHANGES:
-            named = {entry.engine for entry in news.entries}
-            for name in [name for name in self.engines if name not in named]:
-                del self.engines[name]
+        """A view is kept for good, and with it what a cold engine was sent; a restart clears its record."""
+        if news.kind in (api.ListKind.FULL, api.ListKind.RESTORED):
+            for view in self.engines.values():
+                view.entry = replace(view.entry, state=api.EngineState.GONE)
         for entry in news.entries:
-            if entry.state is api.EngineState.GONE:
-                self.engines.pop(entry.engine, None)
-                continue
-            known = self.engines.get(entry.engine)
-            if known is None or entry.started > known.entry.started:
-                fresh = EngineView(entry, self.settings, now)
-                if known is not None:
-                    fresh.out, fresh.threads, fresh.cold_sent = known.out, known.threads, known.cold_sent
-                    for query in fresh.out.values():
-                        query.engine = fresh
-                self.engines[entry.engine] = fresh
-            else:
-                known.entry = entry
+            view = self.engines.setdefault(entry.engine, EngineView(entry, self.settings, now))
+            if entry.started > view.entry.started:
+                view.failing, view.shunned, view.slow = 0.0, False, 0.0
+            view.entry = entry
         self.orders.clear()
 
     def allowed(self, query: Query, engine: EngineView) -> bool:
         """Rules 2, 3 and 6: placement, drains, and the group that drops a keyed query's repeats."""
         kind, entry = query.kind, engine.entry
-        if entry.state is not api.EngineState.UP:
+        ran = [earlier for _, earlier in query.may_have_run if kind.effect is api.Effect.KEYED]
+        if kind.dedup_scope is api.DedupScope.ZONE and any(entry.zone != one.zone for one in ran):
             return False
-        if kind.allowed_kinds is not None and entry.kind not in kind.allowed_kinds:
+        if kind.dedup_scope is api.DedupScope.CELL and any(entry.cell != one.cell for one in ran):
             return False
-        if kind.allowed_zones is not None and entry.zone not in kind.allowed_zones:
-            return False
-        for _, earlier in query.may_have_run:
-            if kind.effect is api.Effect.KEYED:
-                if kind.dedup_scope is api.DedupScope.ZONE and entry.zone != earlier.zone:
-                    return False
-                if kind.dedup_scope is api.DedupScope.CELL and entry.cell != earlier.cell:
-                    return False
-        return True
+        kind_fits = kind.allowed_kinds is None or entry.kind in kind.allowed_kinds
+        zone_fits = kind.allowed_zones is None or entry.zone in kind.allowed_zones
+        return entry.state is api.EngineState.UP and kind_fits and zone_fits
 
     def weight(self, engine: EngineView, now: float, usual: float) -> float:
         """Cores at the pace seen; only an engine well off the fleet's middle, or a cold one, counts less."""
         behind = engine.slow - usual
         cores = engine.cores * (math.exp(-behind) if behind > math.log(PRESSURE) / 2 else 1.0)
-        return cores * self.settings.rules.cold_from if engine.is_cold(now) else cores
+        return cores * max(0.1, self.settings.rules.cold_from) if engine.is_cold(now) else cores
 
     def choose(self, query: Query, now: float, needs_room: bool) -> EngineView | None:
         work = self.calibration.expected(query) * query.kind.threads
@@ -369,28 +334,23 @@
             usable = [engine for engine in usable if engine.entry.engine not in query.tried]
         if not usable:
             return None
-        slows = sorted(engine.slow for engine in usable)
-        usual = slows[len(slows) // 2]
+        usual = middle([engine.slow for engine in usable])
         loads = {e.entry.engine: e.threads / self.weight(e, now, usual) for e in usable}
         mean = sum(e.threads for e in usable) / sum(self.weight(e, now, usual) for e in usable)
         free = [engine for engine in usable if engine.has_room(now, needs_room)]
         homes = [engine for engine in usable[:HOMES] if engine in free]
         best = min(homes, key=lambda e: loads[e.entry.engine], default=None)
-        if best is not None and loads[best.entry.engine] <= mean:
-            return best
-        further = [engine for engine in free if loads[engine.entry.engine] < mean]
-        if further:
-            return further[0]
-        if best is not None:
-            return best
-        return min(free, key=lambda e: loads[e.entry.engine], default=None)
+        if best is None or loads[best.entry.engine] > mean:
+            further = (engine for engine in free if loads[engine.entry.engine] < mean)
+            best = next(further, best)
+        return best or min(free, key=lambda e: loads[e.entry.engine], default=None)
 
     def trial(self, query: Query, able: Iterable[EngineView], now: float) -> EngineView | None:
         """The way back: now and then a cheap query that is safe to repeat goes to a quarantined engine."""
-        if query.kind.effect is not api.Effect.SAFE or query.attempts or query.price > self.calibration.mean_price.mean:
-            return None
+        cheap = query.price <= self.calibration.mean_price.mean
+        fit = cheap and query.kind.effect is api.Effect.SAFE and not query.attempts
         for engine in able:
-            if engine.quarantined() and now >= engine.trial_at:
+            if fit and engine.quarantined() and now >= engine.trial_at:
                 engine.trial_at = now + engine.trial_gap
                 engine.trial_gap = min(TRIAL_GAP_MOST_S, engine.trial_gap * 2)
                 return engine
@@ -405,58 +365,76 @@
         self.rests: dict[int, float] = {}
 
     def enter(self, query: Query) -> None:
-        if query.kind.in_order and query.key is not None:
+        if query.key is not None:
             self.lines.setdefault(query.key, deque()).append(query)
 
     def may_run(self, query: Query, now: float) -> bool:
-        if not query.kind.in_order or query.key is None:
+        if query.key is None:
             return True
-        line = self.lines.get(query.key)
-        return line is not None and line[0] is query and (query.attempts > 0 or now >= self.rests.get(query.key, 0.0))
+        rested = query.attempts > 0 or now >= self.rests.get(query.key, now)
+        return self.lines[query.key][0] is query and rested
 
     def rest(self, query: Query, until: float) -> None:
-        if query.kind.in_order and query.key is not None:
+        if query.key is not None:
             self.rests[query.key] = until
 
     def leave(self, query: Query) -> Query | None:
-        """Called once a query is over and has no attempt out; the one that is first now, if that changed."""
-        line = self.lines.get(query.key) if query.kind.in_order and query.key is not None else None
-        if line is None or query not in line:
+        """For a query that is over and has no attempt out; answers with the one that is first now."""
+        if query.key is None or query.key not in self.lines:
             return None
-        was_first = line[0] is query
+        line = self.lines[query.key]
         line.remove(query)
         if not line:
-            assert query.key is not None
             del self.lines[query.key]
-            return None
-        return line[0] if was_first else None
+        return line[0] if line else None
+
+    def rested(self, now: float) -> list[Query]:
+        """The first of each key whose rest is over."""
+        keys = [key for key, until in self.rests.items() if now >= until]
+        for key in keys:
+            del self.rests[key]
+        return [self.lines[key][0] for key in keys if key in self.lines]
 
 
 class FairRelease:
-    """Held queries by tenant and class, the most worth for its price first; lowest use over share goes."""
+    """Held queries in lines, the most worth for its price first, and each tenant's account."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self.tenants = settings.tenants
-        self.held: dict[LineId, list[tuple[float, int, Query]]] = {}
-        self.use: dict[int, Use] = {}
+        self.settings = settings
+        self.lines: dict[LineId, list[tuple[float, int, Query]]] = {}
+        self.accounts: dict[int, Account] = {}
         self.serial = 0
 
-    def share(self, tenant: int) -> float:
-        return max(1e-9, self.tenants[tenant].share) if tenant < len(self.tenants) else 1.0
-
     def hold(self, query: Query, late: bool) -> None:
         worth = query.kind.worth * (query.kind.late_share if late else 1.0)
+        line_id = (late, query.tenant, query.class_index, query.attempts > 0)
         self.serial += 1
-        line = self.held.setdefault((late, query.tenant, query.class_index, query.attempts > 0), [])
+        line = self.lines.setdefault(line_id, [])
         heappush(line, (-worth / max(query.price, 1e-9), self.serial, query))
 
-    def score(self, tenant: int, now: float) -> float:
-        return self.use.setdefault(tenant, Use()).read(now) / self.share(tenant)
+    def head(self, line_id: LineId, now: float) -> Query | None:
+        """The first of a line that still waits; one that can no longer be in time moves to the late line."""
+        line = self.lines[line_id]
+        while line:
+            query = line[0][2]
+            if query.waiting() and (line_id[0] or now + query.expected <= query.aim):
+                return query
+            heappop(line)
+            if query.waiting():
+                self.hold(query, True)
+        return None
 
-    def charge(self, query: Query, now: float) -> None:
-        use = self.use.setdefault(query.tenant, Use())
-        use.read(now)
-        use.value += query.price
+    def account(self, query: Query, now: float, cores: float) -> Account:
+        """The tenant's account, or the class's where there are no tenants, at its share of our cores."""
+        tenants = self.settings.tenants
+        owner = query.tenant if tenants else query.class_index
+        account = self.accounts.get(owner)
+        if account is None:
+            even = 1.0 / max(1, len(self.settings.classes))
+            account = Account(tenants[owner].share if owner < len(tenants) else even)
+            self.accounts[owner] = account
+        account.advance(now, account.share * cores)
+        return account
 
 
 class Controller:
@@ -470,22 +448,19 @@
         self.release = FairRelease(settings)
         self.order = KeyOrder()
         self.retries = RetryBudget(settings.rules)
-        self.buckets: dict[tuple[str, int], TokenBucket] = {}
         self.queries: dict[int, Query] = {}
         self.waits: list[tuple[float, int, Query]] = []
         self.actions: list[api.Action] = []
         self.now = 0.0
-        self.ticked: float | None = None
-        self.told: dict[int, bool] = {}
+        self.ticked = -1.0
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         """Take the events of one moment, in turn, and answer with the actions of that moment."""
         self.now = now
         self.actions = []
-        if self.ticked is None:
+        if self.ticked < 0:
             self.start_tick()
-            if not self.settings.list_is_pushed:
-                self.actions.append(api.WatchList())
+            self.watch_list()
         for event in events:
             match event:
                 case api.QueryArrived():
@@ -497,42 +472,65 @@
                 case api.TimerFired():
                     self.tick()
                 case api.ListUpdate():
-                    self.router.update(now, event)
-                    if event.kind is api.ListKind.UNAVAILABLE and not self.settings.list_is_pushed:
-                        self.actions.append(api.WatchList())
+                    self.listed(event)
                 case api.QueryDropped():
                     self.dropped(event.query)
-                case _:
-                    pass
         self.pump()
+        self.end_waits()
         return self.actions
 
     # What arrives
 
+    def listed(self, event: api.ListUpdate) -> None:
+        self.router.update(self.now, event)
+        if event.kind is api.ListKind.UNAVAILABLE:
+            self.watch_list()
+
+    def watch_list(self) -> None:
+        if not self.settings.list_is_pushed:
+            self.actions.append(api.WatchList())
+
     def arrived(self, event: api.QueryArrived) -> None:
         kind = self.settings.classes[event.query_class]
         self.retries.take(self.now)
         query = Query(
-            event.query, kind, event.query_class, event.tenant, event.deadline, self.now, event.key, event.tables,
-            self.calibration.cost(event.query_class, event.cost), event.memory_mb or 0.0,
+            event.query,
+            kind,
+            event.query_class,
+            event.tenant,
+            event.deadline,
+            event.key if kind.in_order else None,
+            event.tables,
+            event.cost is not None,
+            self.calibration.cost(event.query_class, event.cost),
         )
         query.price = self.calibration.price(query)
-        self.calibration.mean_price.learn(query.price, 1.0)
-        query.aim = self.now + kind.aim + kind.aim_stretch * self.calibration.expected(query)
-        self.told[query.id] = bool(event.cost)
+        self.calibration.mean_price.learn(query.price)
+        self.calibration.mean_worth.learn(kind.worth)
+        query.expected = self.calibration.expected(query)
+        query.aim = self.now + kind.aim + kind.aim_stretch * query.expected
         self.queries[query.id] = query
         if self.now >= query.deadline:
             self.give_up(query)
             return
         self.order.enter(query)
+        self.hold(query)
+
+    def hold(self, query: Query) -> None:
+        """Hold a query until its deadline less its class's usual time; each time anew, or it is lost."""
         usual = max(self.calibration.usual[query.class_index], 2 * TICK_S)
         heappush(self.waits, (max(self.now, query.deadline - usual), query.id, query))
         if self.order.may_run(query, self.now):
-            self.release.hold(query, False)
+            self.release.hold(query, self.now > query.aim)
 
-    def ended(self, event: api.AttemptEnded) -> None:
+    def out(self, event: api.AttemptEnded | api.AttemptNote) -> Query | None:
+        """The query whose attempt that is, if that attempt is the one out."""
         query = self.queries.get(event.query)
-        if query is None or query.engine is None or query.attempts != event.attempt + 1:
+        return query if query is not None and query.attempts == event.attempt + 1 else None
+
+    def ended(self, event: api.AttemptEnded) -> None:
+        query = self.out(event)
+        if query is None or query.engine is None:
             return
         engine, query.engine = query.engine, None
         engine.out.pop(query.id, None)
@@ -546,22 +544,21 @@
         if event.settled or event.outcome is api.Outcome.OK or query.done:
             self.over(query)
         elif self.may_try_again(query):
-            self.release.hold(query, self.now > query.aim)
+            self.hold(query)
         else:
             self.give_up(query)
 
     def judge(self, query: Query, engine: EngineView, event: api.AttemptEnded) -> None:
+        outcome = event.outcome
         if event.report is not None:
             engine.report, engine.report_at = event.report, self.now
-        outcome = event.outcome
         if outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
             engine.sign = self.now
         if outcome is api.Outcome.OK:
             engine.answered()
             self.observe(engine, query, event.elapsed)
-            slows = sorted(one.slow for one in self.router.engines.values())
-            pace = math.exp(engine.slow - slows[len(slows) // 2]) if slows else 1.0
-            self.calibration.learn(query, event.elapsed, self.told.get(query.id, False), pace)
+            usual = middle([one.slow for one in self.router.order(query.tables)] or [engine.slow])
+            self.calibration.learn(query, event.elapsed, math.exp(engine.slow - usual))
         elif outcome is api.Outcome.ERROR:
             engine.failed(FAIL_WEIGHT)
         elif outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET):
@@ -571,15 +568,14 @@
 
     def observe(self, engine: EngineView, query: Query, elapsed: float) -> None:
         """Latency over best, weighted by price: cheap queries run past the crowd and show little of it."""
-        if self.calibration.best[query.class_index] is None or query.expected <= 0:
-            return
-        mean = self.calibration.mean_price.mean
-        weight = min(0.3, 0.1 * query.price / mean) if mean > 0 else 0.1
-        engine.slow += (math.log(max(elapsed / query.expected, 1e-3)) - engine.slow) * weight
+        if self.calibration.best[query.class_index] is not None:
+            weight = min(0.3, 0.1 * query.price / max(self.calibration.mean_price.mean, 1e-9))
+            seen = math.log(max(elapsed, 1e-6) / max(query.expected, 1e-6))
+            engine.slow += (seen - engine.slow) * weight
 
     def noted(self, event: api.AttemptNote) -> None:
-        query = self.queries.get(event.query)
-        if query is None or query.engine is None or query.attempts != event.attempt + 1:
+        query = self.out(event)
+        if query is None or query.engine is None:
             return
         query.engine.sign = self.now
         if event.kind is not api.NoteKind.PROGRESS or query.done:
@@ -592,8 +588,8 @@
 
     def begin_anew(self, query: Query) -> None:
         """Call an attempt off whose end is out of reach; its outcome then leads to another attempt."""
-        able = self.settings.limits.cancel and not query.cancelled and query.kind.effect is not api.Effect.UNSAFE
-        if able and self.retries.allows(self.now) and self.may_try_again(query):
+        able = self.settings.limits.cancel and not query.cancelled
+        if able and self.retries.allows(self.now) and self.may_try_again(query, ran=True):
             query.cancelled = True
             self.actions.append(api.Cancel(query.id, query.attempts - 1))
 
@@ -601,8 +597,8 @@
         query = self.queries.get(query_id)
         if query is not None:
             query.done = True
-            if query.engine is None:
-                self.over(query)
+        if query is not None and query.engine is None:
+            self.over(query)
 
     # Ends
 
@@ -610,74 +606,60 @@
         """Nothing is owed and nothing is out: forget the query, and let the next of its key go."""
         query.done = True
         self.queries.pop(query.id, None)
-        self.told.pop(query.id, None)
         following = self.order.leave(query)
-        if following is not None and self.order.may_run(following, self.now):
-            self.release.hold(following, False)
+        if following is not None and following.waiting():
+            self.hold(following)
 
-    def may_try_again(self, query: Query) -> bool:
-        """Rule 2, and whether there is time left for another attempt."""
+    def may_try_again(self, query: Query, ran: bool = False) -> bool:
+        """Rule 2, and whether there is time left for another attempt; ``ran`` if the one out may have run."""
         kind = query.kind
-        if query.attempts >= self.settings.limits.max_attempts:
-            return False
-        if query.may_have_run and kind.effect is api.Effect.UNSAFE:
-            return False
-        if query.may_have_run and kind.effect is api.Effect.KEYED:
-            if self.now >= query.may_have_run[0][0] + kind.dedup_window - 2 * TICK_S:
+        if kind.effect is not api.Effect.SAFE and (ran or query.may_have_run):
+            first = query.may_have_run[0][0] if query.may_have_run else query.sent
+            dropped_until = first + kind.dedup_window - 2 * TICK_S
+            if kind.effect is api.Effect.UNSAFE or self.now >= dropped_until:
                 return False
-        return self.now + query.expected < query.deadline
+        in_time = self.now + query.expected < query.deadline
+        return in_time and query.attempts < self.settings.limits.max_attempts
 
     def give_up(self, query: Query) -> None:
         """The final answer, at once: refused where the client may safely try again, else failed."""
-        if query.done:
-            return
-        kind = query.kind
-        harmless = not query.may_have_run and query.engine is None
-        if kind.effect is api.Effect.SAFE or harmless:
-            self.actions.append(api.Refuse(query.id, self.hint(query)))
-        elif kind.effect is api.Effect.KEYED and kind.dedup_scope is api.DedupScope.ALL and query.engine is None:
+        kind, ran = query.kind, bool(query.may_have_run)
+        dropped_by_all = kind.effect is api.Effect.KEYED and kind.dedup_scope is api.DedupScope.ALL
+        if kind.effect is api.Effect.SAFE or dropped_by_all or not ran:
             self.actions.append(api.Refuse(query.id, self.hint(query)))
         else:
             self.actions.append(api.Fail(query.id))
-        query.done = True
-        if query.engine is None:
-            self.over(query)
+        self.over(query)
 
     def hint(self, query: Query) -> float:
-        """When the tenant will have paid its debt, plus jitter so that the refused do not come back as one."""
-        limits = self.settings.limits
-        if not limits.retry_hints:
-            return 0.0
-        wait = max(self.bucket(query).debt_time(), self.calibration.usual[query.class_index])
-        return min(limits.max_retry_after, wait * (1 + HINT_JITTER * self.random.random()))
+        """When the tenant's debt will be paid, plus jitter so that the refused do not come back as one."""
+        wait = max(self.account(query).debt_time(), self.calibration.usual[query.class_index])
+        wait *= 1 + HINT_JITTER * self.random.random()
+        return min(self.settings.limits.max_retry_after, wait) if self.settings.limits.retry_hints else 0.0
 
     # Budgets and release
 
-    def bucket(self, query: Query) -> TokenBucket:
-        """The tenant's bucket, or the class's where there are no tenants."""
-        tenants = self.settings.tenants
-        owner = ("tenant", query.tenant) if tenants else ("class", query.class_index)
-        share = self.release.share(query.tenant) if tenants else 1.0 / max(1, len(self.settings.classes))
-        bucket = self.buckets.setdefault(owner, TokenBucket())
-        bucket.fill(self.now, share * sum(e.cores * e.share for e in self.router.engines.values()))
-        return bucket
+    def account(self, query: Query) -> Account:
+        cores = sum(engine.cores * engine.share for engine in self.router.order(query.tables))
+        return self.release.account(query, self.now, cores)
 
     def pump(self) -> None:
         """Release held queries while engines have room: in time before late, out of debt before owing."""
         blocked: set[LineId] = set()
         while True:
             heads: list[tuple[bool, bool, float, float, LineId, Query]] = []
-            for line_id, line in list(self.release.held.items()):
-                query = None if line_id in blocked else self.head(line, line_id[0])
+            for line_id in list(self.release.lines):
+                query = None if line_id in blocked else self.release.head(line_id, self.now)
                 if query is not None:
-                    owing = not query.charged and self.bucket(query).owes()
-                    use = self.release.score(query.tenant, self.now)
-                    heads.append((line_id[0], owing, use, line[0][0], line_id, query))
+                    account = self.account(query)
+                    owing = account.level < 0 and not query.charged
+                    merit = self.release.lines[line_id][0][0]
+                    heads.append((line_id[0], owing, account.use / account.share, merit, line_id, query))
             if not heads:
                 return
             late, owing, _, _, line_id, query = min(heads, key=lambda one: one[:5])
             if query.attempts and not self.may_try_again(query):
-                heappop(self.release.held[line_id])
+                heappop(self.release.lines[line_id])
                 self.give_up(query)
                 continue
             rationed = query.attempts > 0 and not self.retries.allows(self.now)
@@ -685,27 +667,16 @@
             if engine is None:
                 blocked.add(line_id)
                 continue
-            heappop(self.release.held[line_id])
+            heappop(self.release.lines[line_id])
             self.send(query, engine)
 
-    def head(self, line: list[tuple[float, int, Query]], late: bool) -> Query | None:
-        while line:
-            query = line[0][2]
-            if not query.done and query.engine is None and (late or self.now + self.calibration.expected(query) <= query.aim):
-                return query
-            heappop(line)
-            if not query.done and query.engine is None:
-                self.release.hold(query, True)
-        return None
-
     def send(self, query: Query, engine: EngineView) -> None:
         """Every attempt leaves through here."""
         if query.attempts:
-            self.retries.spend(self.now)
+            self.retries.extra.append(self.now)
         if not query.charged:
             query.charged = True
-            self.bucket(query).level -= query.price
-            self.release.charge(query, self.now)
+            self.account(query).charge(query.price)
         query.engine, query.sent, query.cancelled = engine, self.now, False
         query.expected = self.calibration.expected(query)
         query.attempts += 1
@@ -722,11 +693,8 @@
 
     def priority(self, query: Query) -> int:
         """By worth for the price against the usual: what earns more for less goes before."""
-        mean = self.calibration.mean_price.mean
-        if query.price <= 0 or mean <= 0:
-            return 1
-        usual = sum(one.worth for one in self.settings.classes) / max(1, len(self.settings.classes)) / mean
-        ratio = query.kind.worth / query.price / usual
+        usual = self.calibration.mean_worth.mean / max(self.calibration.mean_price.mean, 1e-9)
+        ratio = query.kind.worth / max(query.price, 1e-9) / max(usual, 1e-9)
         return 3 if ratio > 2 else 2 if ratio > 0.5 else 1 if ratio > 0.125 else 0
 
     # Time
@@ -736,21 +704,21 @@
         self.actions.append(api.SetTimer(1, TICK_S))
 
     def tick(self) -> None:
-        passed = self.now - (self.ticked or self.now)
+        self.calibration.drift(self.now - self.ticked)
         self.start_tick()
-        self.calibration.drift(passed)
         for engine in self.router.engines.values():
             engine.follow_pressure(self.now)
             engine.watch_silence(self.now, self.settings.note_period)
             if engine.silent:
                 for query in list(engine.out.values()):
                     self.begin_anew(query)
-        for key in [key for key, until in self.order.rests.items() if self.now >= until]:
-            del self.order.rests[key]
-            line = self.order.lines.get(key)
-            if line and line[0].attempts == 0:
-                self.release.hold(line[0], False)
+        for query in self.order.rested(self.now):
+            if query.waiting():
+                self.hold(query)
+
+    def end_waits(self) -> None:
+        """After each release: a query may arrive with less time left than one tick."""
         while self.waits and self.waits[0][0] <= self.now:
-            _, _, query = heappop(self.waits)
-            if not query.done and query.engine is None:
+            query = heappop(self.waits)[2]
+            if query.waiting():
                 self.give_up(query)
