--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -1,7 +1,7 @@
 """All decisions of micahold; the types that go in and out are in ``micahold/interface.py``.
 
-One ``Controller`` is one gateway. It sees its own traffic alone, keeps no clock and does no I/O: the same
-events give the same actions. ``docs/design.md`` says where each part comes from and how far it departs.
+One ``Controller`` is one gateway, which sees its own traffic alone. ``docs/design.md`` tells where each
+part comes from.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from heapq import heappop, heappush
+from itertools import count
 from random import Random
 
 from micahold import interface as api
@@ -25,10 +26,10 @@
 HOMES = 3  # engines of a table group's hash order that are tried first
 PRESSURE = 2.0  # latency above best, as a multiple, from which bounds bind
 BUSY = 0.95  # busy share in a fresh report from which bounds bind
-REPORT_FRESH_S = 1.0  # older reports say nothing
+BUSY_FRESH_S = 1.0  # a busy report or a full engine is believed for this long
 SHARE_STEP = 0.1  # step by which this gateway's share of an engine follows pressure
 BEST_DRIFT = 0.01  # the best latency known rises by this share a second, to forget a lucky spell
-SHUN_ABOVE, TRUST_BELOW = 0.25, 0.1  # failing share at which an engine is quarantined, and let back
+SHUN_ABOVE = 0.25  # failing share above which an engine is quarantined
 FAIL_WEIGHT, CUT_WEIGHT = 0.2, 0.5  # weight of one error, of one broken or refused connection
 PATIENCE = 4.0  # silence is held against an engine after this many times the expected time
 TRIAL_GAP_S, TRIAL_GAP_MOST_S = 0.25, 4.0  # pause between trial queries to a quarantined engine
@@ -41,7 +42,7 @@
 
 
 def middle(values: Sequence[float]) -> float:
-    return sorted(values)[len(values) // 2]
+    return sorted(values)[len(values) // 2] if values else 0.0
 
 
 @dataclass(slots=True)
@@ -65,14 +66,9 @@
 class Query:
     """A query that this gateway has taken and not yet finished with."""
 
-    id: int
+    asked: api.QueryArrived
     kind: api.QueryClass
-    class_index: int
-    tenant: int
-    deadline: float
-    key: int | None
-    tables: int
-    told: bool
+    key: int | None  # None where the class keeps no order
     cost: float
     price: float = 0.0
     aim: float = 0.0
@@ -99,7 +95,7 @@
         self.all = WeightedMean()
         self.class_cost = [WeightedMean() for _ in classes]
         self.class_unit = [WeightedMean() for _ in classes]
-        self.best: list[float | None] = [None] * len(classes)
+        self.best = [math.inf] * len(classes)  # lowest mean of ln(seconds / cost) so far
         self.usual = [kind.aim / 2 for kind in classes]
         self.mean_price = WeightedMean()
         self.mean_worth = WeightedMean()
@@ -108,34 +104,32 @@
         return told or self.class_cost[class_index].mean or self.classes[class_index].aim
 
     def price(self, query: Query) -> float:
-        group = self.groups.get((query.class_index, query.tables))
+        group = self.groups.get((query.asked.query_class, query.asked.tables))
         factor = math.exp(group.mean - self.all.mean) if group is not None else 1.0
         return query.cost * min(FACTOR_LIMIT, max(1 / FACTOR_LIMIT, factor))
 
     def expected(self, query: Query) -> float:
         """Time the query takes on an engine at its best."""
-        unit = self.best[query.class_index] or 0.0
-        return query.cost * math.exp(unit) / query.kind.threads
+        best = self.best[query.asked.query_class]
+        return query.cost * (math.exp(best) if best < math.inf else 1.0) / query.kind.threads
 
     def learn(self, query: Query, elapsed: float, engine_pace: float) -> None:
         """One run that ended well; the engine's own pace is taken out, so a slow one inflates no price."""
-        index = query.class_index
-        seconds = elapsed * query.kind.threads
-        if not query.told:
+        index, seconds = query.asked.query_class, elapsed * query.kind.threads
+        if query.asked.cost is None:
             self.class_cost[index].learn(seconds / max(1.0, engine_pace))
         unit = math.log(max(seconds, 1e-6) / max(query.cost, 1e-6))
         self.class_unit[index].learn(unit)
         self.usual[index] += (elapsed - self.usual[index]) / LEARN_RUNS
         if self.class_unit[index].weight >= LEARN_RUNS / 3:
-            self.best[index] = min(self.class_unit[index].mean, self.best[index] or math.inf)
+            self.best[index] = min(self.class_unit[index].mean, self.best[index])
         paced = unit - math.log(engine_pace)
-        self.groups.setdefault((index, query.tables), WeightedMean()).learn(paced)
+        self.groups.setdefault((index, query.asked.tables), WeightedMean()).learn(paced)
         self.all.learn(paced, query.cost)
 
     def drift(self, passed: float) -> None:
         for index, best in enumerate(self.best):
-            if best is not None:
-                self.best[index] = min(best + BEST_DRIFT * passed, self.class_unit[index].mean)
+            self.best[index] = best + BEST_DRIFT * passed
 
 
 class Account:
@@ -143,9 +137,7 @@
 
     def __init__(self, share: float) -> None:
         self.share = max(share, 1e-9)
-        self.rate = 0.0
-        self.level = 0.0
-        self.use = 0.0
+        self.rate = self.level = self.use = 0.0
         self.at: float | None = None
 
     def advance(self, now: float, rate: float) -> None:
@@ -171,10 +163,6 @@
         self.taken: deque[float] = deque()
         self.extra: deque[float] = deque()
 
-    def take(self, now: float) -> None:
-        self.taken.append(now)
-        self.forget(now)
-
     def allows(self, now: float) -> bool:
         self.forget(now)
         most = self.rules.retry_free + self.rules.retry_share * len(self.taken)
@@ -200,57 +188,43 @@
         self.share = 1.0 / settings.gateways
         self.slow = 0.0  # ln of latency over best
         self.failing = 0.0
-        self.shunned = False
         self.silent = False
         self.sign = now
-        self.full_at = -math.inf
-        self.report: api.LoadReport | None = None
-        self.report_at = -math.inf
+        self.busy_until = 0.0
         self.trial_at = 0.0
         self.trial_gap = TRIAL_GAP_S
-        self.cold_sent: deque[tuple[float, float]] = deque()
-        kinds = settings.kinds
-        told = kinds[entry.kind].cores if entry.kind < len(kinds) else 0.0
-        self.cores = told or 1.0
+        self.cold_sent: list[tuple[float, float]] = []
+        self.cores = next((kind.cores for kind in settings.kinds[entry.kind :]), 0.0) or 1.0
 
     def is_cold(self, now: float) -> bool:
         return self.entry.started > 0 and now < self.entry.started + self.settings.rules.cold_time
 
     def cold_room(self, now: float, work: float) -> bool:
         """Rule 4, kept alone: this gateway's part of what a cold engine takes in any window."""
-        if not self.is_cold(now):
-            return True
         rules = self.settings.rules
-        while self.cold_sent and self.cold_sent[0][0] < now - rules.cold_window - TICK_S:
-            self.cold_sent.popleft()
+        since = now - rules.cold_window - TICK_S
+        spent = sum(sent for at, sent in self.cold_sent if at >= since)
         total = rules.cold_multiple * rules.cold_from * self.cores * rules.cold_window
-        spent = sum(sent for _, sent in self.cold_sent)
-        return spent + work <= total * COLD_SAFETY / self.settings.gateways
+        return not self.is_cold(now) or spent + work <= total * COLD_SAFETY / self.settings.gateways
 
     def bound(self) -> float:
         return max(1.0, BOUND_THREADS * self.cores * self.share)
 
     def pressed(self, now: float) -> bool:
-        if self.slow > math.log(PRESSURE) or now - self.full_at < REPORT_FRESH_S:
-            return True
-        report = self.report if now - self.report_at < REPORT_FRESH_S else None
-        return report is not None and report.busy is not None and report.busy > BUSY
+        return self.slow > math.log(PRESSURE) or now < self.busy_until
 
     def has_room(self, now: float, always: bool) -> bool:
         return self.threads < self.bound() or not (always or self.pressed(now))
 
     def quarantined(self) -> bool:
-        return self.shunned or self.silent
+        return self.silent or self.failing > SHUN_ABOVE
 
     def failed(self, weight: float) -> None:
         self.failing += (1 - self.failing) * weight
-        self.shunned = self.shunned or self.failing > SHUN_ABOVE
 
     def answered(self) -> None:
         self.failing *= 1 - FAIL_WEIGHT
         self.trial_gap = TRIAL_GAP_S
-        if self.failing < TRUST_BELOW:
-            self.shunned = False
 
     def follow_pressure(self, now: float) -> None:
         """The share of this engine that is ours: 1 / gateways until latency tells otherwise."""
@@ -298,18 +272,23 @@
         for entry in news.entries:
             view = self.engines.setdefault(entry.engine, EngineView(entry, self.settings, now))
             if entry.started > view.entry.started:
-                view.failing, view.shunned, view.slow = 0.0, False, 0.0
+                view.failing, view.slow = 0.0, 0.0
+                view.cold_sent = [
+                    one for one in view.cold_sent if one[0] > now - self.settings.rules.cold_window
+                ]
             view.entry = entry
         self.orders.clear()
 
     def allowed(self, query: Query, engine: EngineView) -> bool:
         """Rules 2, 3 and 6: placement, drains, and the group that drops a keyed query's repeats."""
         kind, entry = query.kind, engine.entry
-        ran = [earlier for _, earlier in query.may_have_run if kind.effect is api.Effect.KEYED]
-        if kind.dedup_scope is api.DedupScope.ZONE and any(entry.zone != one.zone for one in ran):
-            return False
-        if kind.dedup_scope is api.DedupScope.CELL and any(entry.cell != one.cell for one in ran):
-            return False
+        for _, ran in query.may_have_run if kind.effect is api.Effect.KEYED else ():
+            strays = {
+                api.DedupScope.ZONE: entry.zone != ran.zone,
+                api.DedupScope.CELL: entry.cell != ran.cell,
+            }
+            if strays.get(kind.dedup_scope, False):
+                return False
         kind_fits = kind.allowed_kinds is None or entry.kind in kind.allowed_kinds
         zone_fits = kind.allowed_zones is None or entry.zone in kind.allowed_zones
         return entry.state is api.EngineState.UP and kind_fits and zone_fits
@@ -321,29 +300,28 @@
         return cores * max(0.1, self.settings.rules.cold_from) if engine.is_cold(now) else cores
 
     def choose(self, query: Query, now: float, needs_room: bool) -> EngineView | None:
-        work = self.calibration.expected(query) * query.kind.threads
-        allowed = [engine for engine in self.order(query.tables) if self.allowed(query, engine)]
+        work = max(query.cost, self.calibration.expected(query) * query.kind.threads)
+        allowed = [engine for engine in self.order(query.asked.tables) if self.allowed(query, engine)]
         able = [engine for engine in allowed if engine.cold_room(now, work)]
         sound = [engine for engine in able if not engine.quarantined()]
-        trial = self.trial(query, able, now)
-        if trial is not None:
+        if (trial := self.trial(query, able, now)) is not None:
             return trial
         # Never shun so many that nothing is left: with every engine under suspicion all are used again.
         usable = sound or able
         if query.tried and any(engine.entry.engine not in query.tried for engine in usable):
             usable = [engine for engine in usable if engine.entry.engine not in query.tried]
-        if not usable:
-            return None
         usual = middle([engine.slow for engine in usable])
-        loads = {e.entry.engine: e.threads / self.weight(e, now, usual) for e in usable}
-        mean = sum(e.threads for e in usable) / sum(self.weight(e, now, usual) for e in usable)
-        free = [engine for engine in usable if engine.has_room(now, needs_room)]
-        homes = [engine for engine in usable[:HOMES] if engine in free]
-        best = min(homes, key=lambda e: loads[e.entry.engine], default=None)
-        if best is None or loads[best.entry.engine] > mean:
-            further = (engine for engine in free if loads[engine.entry.engine] < mean)
-            best = next(further, best)
-        return best or min(free, key=lambda e: loads[e.entry.engine], default=None)
+        weights = [self.weight(engine, now, usual) for engine in usable]
+        mean = sum(engine.threads for engine in usable) / max(sum(weights), 1e-9)
+        loads = [engine.threads / weight for engine, weight in zip(usable, weights, strict=True)]
+        free = [index for index, engine in enumerate(usable) if engine.has_room(now, needs_room)]
+        best = min((index for index in free if index < HOMES), key=loads.__getitem__, default=None)
+        # "Busier than the mean" by more than one query: below that a quiet gateway would lose its homes.
+        if best is None or loads[best] - query.kind.threads / weights[best] > mean:
+            best = next((index for index in free if loads[index] < mean), best)
+        if best is None:
+            best = min(free, key=loads.__getitem__, default=None)
+        return None if best is None else usable[best]
 
     def trial(self, query: Query, able: Iterable[EngineView], now: float) -> EngineView | None:
         """The way back: now and then a cheap query that is safe to repeat goes to a quarantined engine."""
@@ -361,31 +339,21 @@
     """Rule 5: of the queries with one key only the first taken may be out; a doubtful end rests the key."""
 
     def __init__(self) -> None:
-        self.lines: dict[int, deque[Query]] = {}
-        self.rests: dict[int, float] = {}
-
-    def enter(self, query: Query) -> None:
-        if query.key is not None:
-            self.lines.setdefault(query.key, deque()).append(query)
+        self.lines: dict[int | None, deque[Query]] = {}
+        self.rests: dict[int | None, float] = {}
 
     def may_run(self, query: Query, now: float) -> bool:
-        if query.key is None:
-            return True
+        line = self.lines.get(query.key)
         rested = query.attempts > 0 or now >= self.rests.get(query.key, now)
-        return self.lines[query.key][0] is query and rested
-
-    def rest(self, query: Query, until: float) -> None:
-        if query.key is not None:
-            self.rests[query.key] = until
+        return line is None or (line[0] is query and rested)
 
     def leave(self, query: Query) -> Query | None:
         """For a query that is over and has no attempt out; answers with the one that is first now."""
-        if query.key is None or query.key not in self.lines:
-            return None
-        line = self.lines[query.key]
-        line.remove(query)
+        line = self.lines.get(query.key, deque())
+        if query in line:
+            line.remove(query)
         if not line:
-            del self.lines[query.key]
+            self.lines.pop(query.key, None)
         return line[0] if line else None
 
     def rested(self, now: float) -> list[Query]:
@@ -397,20 +365,17 @@
 
 
 class FairRelease:
-    """Held queries in lines, the most worth for its price first, and each tenant's account."""
+    """Held queries in lines, in each the most worth for its price first."""
 
-    def __init__(self, settings: api.Settings) -> None:
-        self.settings = settings
+    def __init__(self) -> None:
         self.lines: dict[LineId, list[tuple[float, int, Query]]] = {}
-        self.accounts: dict[int, Account] = {}
-        self.serial = 0
+        self.serial = count()
 
     def hold(self, query: Query, late: bool) -> None:
         worth = query.kind.worth * (query.kind.late_share if late else 1.0)
-        line_id = (late, query.tenant, query.class_index, query.attempts > 0)
-        self.serial += 1
-        line = self.lines.setdefault(line_id, [])
-        heappush(line, (-worth / max(query.price, 1e-9), self.serial, query))
+        line_id = (late, query.asked.tenant, query.asked.query_class, query.attempts > 0)
+        entry = (-worth / max(query.price, 1e-9), next(self.serial), query)
+        heappush(self.lines.setdefault(line_id, []), entry)
 
     def head(self, line_id: LineId, now: float) -> Query | None:
         """The first of a line that still waits; one that can no longer be in time moves to the late line."""
@@ -424,18 +389,6 @@
                 self.hold(query, True)
         return None
 
-    def account(self, query: Query, now: float, cores: float) -> Account:
-        """The tenant's account, or the class's where there are no tenants, at its share of our cores."""
-        tenants = self.settings.tenants
-        owner = query.tenant if tenants else query.class_index
-        account = self.accounts.get(owner)
-        if account is None:
-            even = 1.0 / max(1, len(self.settings.classes))
-            account = Account(tenants[owner].share if owner < len(tenants) else even)
-            self.accounts[owner] = account
-        account.advance(now, account.share * cores)
-        return account
-
 
 class Controller:
     """One gateway's decisions."""
@@ -445,10 +398,11 @@
         self.random = Random(seed)
         self.calibration = Calibration(settings.classes)
         self.router = Router(settings, self.calibration)
-        self.release = FairRelease(settings)
+        self.release = FairRelease()
         self.order = KeyOrder()
         self.retries = RetryBudget(settings.rules)
         self.queries: dict[int, Query] = {}
+        self.accounts: dict[int, Account] = {}
         self.waits: list[tuple[float, int, Query]] = []
         self.actions: list[api.Action] = []
         self.now = 0.0
@@ -456,10 +410,9 @@
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         """Take the events of one moment, in turn, and answer with the actions of that moment."""
-        self.now = now
-        self.actions = []
+        self.now, self.actions = now, []
         if self.ticked < 0:
-            self.start_tick()
+            self.tick()
             self.watch_list()
         for event in events:
             match event:
@@ -472,73 +425,55 @@
                 case api.TimerFired():
                     self.tick()
                 case api.ListUpdate():
-                    self.listed(event)
+                    self.router.update(now, event)
+                    if event.kind is api.ListKind.UNAVAILABLE:
+                        self.watch_list()
                 case api.QueryDropped():
                     self.dropped(event.query)
         self.pump()
         self.end_waits()
         return self.actions
 
-    # What arrives
-
-    def listed(self, event: api.ListUpdate) -> None:
-        self.router.update(self.now, event)
-        if event.kind is api.ListKind.UNAVAILABLE:
-            self.watch_list()
-
     def watch_list(self) -> None:
         if not self.settings.list_is_pushed:
             self.actions.append(api.WatchList())
 
     def arrived(self, event: api.QueryArrived) -> None:
         kind = self.settings.classes[event.query_class]
-        self.retries.take(self.now)
-        query = Query(
-            event.query,
-            kind,
-            event.query_class,
-            event.tenant,
-            event.deadline,
-            event.key if kind.in_order else None,
-            event.tables,
-            event.cost is not None,
-            self.calibration.cost(event.query_class, event.cost),
-        )
+        self.retries.taken.append(self.now)
+        cost = self.calibration.cost(event.query_class, event.cost)
+        query = Query(event, kind, event.key if kind.in_order else None, cost)
         query.price = self.calibration.price(query)
         self.calibration.mean_price.learn(query.price)
         self.calibration.mean_worth.learn(kind.worth)
         query.expected = self.calibration.expected(query)
         query.aim = self.now + kind.aim + kind.aim_stretch * query.expected
-        self.queries[query.id] = query
-        if self.now >= query.deadline:
+        self.queries[query.asked.query] = query
+        if query.key is not None:
+            self.order.lines.setdefault(query.key, deque()).append(query)
+        if self.now >= query.asked.deadline:
             self.give_up(query)
-            return
-        self.order.enter(query)
-        self.hold(query)
+        else:
+            self.hold(query)
 
     def hold(self, query: Query) -> None:
         """Hold a query until its deadline less its class's usual time; each time anew, or it is lost."""
-        usual = max(self.calibration.usual[query.class_index], 2 * TICK_S)
-        heappush(self.waits, (max(self.now, query.deadline - usual), query.id, query))
+        usual = max(self.calibration.usual[query.asked.query_class], 2 * TICK_S)
+        heappush(self.waits, (max(self.now, query.asked.deadline - usual), next(self.release.serial), query))
         if self.order.may_run(query, self.now):
             self.release.hold(query, self.now > query.aim)
 
-    def out(self, event: api.AttemptEnded | api.AttemptNote) -> Query | None:
-        """The query whose attempt that is, if that attempt is the one out."""
-        query = self.queries.get(event.query)
-        return query if query is not None and query.attempts == event.attempt + 1 else None
-
     def ended(self, event: api.AttemptEnded) -> None:
-        query = self.out(event)
-        if query is None or query.engine is None:
+        query = self.queries.get(event.query)
+        if query is None or query.engine is None or query.attempts != event.attempt + 1:
             return
         engine, query.engine = query.engine, None
-        engine.out.pop(query.id, None)
+        engine.out.pop(query.asked.query, None)
         engine.threads -= query.kind.threads
         self.judge(query, engine, event)
         doubtful = event.outcome in (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED)
-        if doubtful:
-            self.order.rest(query, self.now + self.settings.rules.order_settle)
+        if doubtful and query.key is not None:
+            self.order.rests[query.key] = self.now + self.settings.rules.order_settle
         if doubtful or event.outcome is api.Outcome.ERROR:
             query.may_have_run.append((query.sent, engine.entry))
         if event.settled or event.outcome is api.Outcome.OK or query.done:
@@ -550,62 +485,54 @@
 
     def judge(self, query: Query, engine: EngineView, event: api.AttemptEnded) -> None:
         outcome = event.outcome
-        if event.report is not None:
-            engine.report, engine.report_at = event.report, self.now
+        reported_busy = event.report is not None and (event.report.busy or 0.0) > BUSY
+        if reported_busy or outcome is api.Outcome.FULL:
+            engine.busy_until = self.now + BUSY_FRESH_S
         if outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
             engine.sign = self.now
         if outcome is api.Outcome.OK:
             engine.answered()
-            self.observe(engine, query, event.elapsed)
-            usual = middle([one.slow for one in self.router.order(query.tables)] or [engine.slow])
+            if self.calibration.best[query.asked.query_class] < math.inf:
+                # Weighted by price: cheap queries run past the crowd and show little of it.
+                weight = min(0.3, 0.1 * query.price / max(self.calibration.mean_price.mean, 1e-9))
+                seen = math.log(max(event.elapsed, 1e-6) / max(query.expected, 1e-6))
+                engine.slow += (seen - engine.slow) * weight
+            usual = middle([one.slow for one in self.router.order(query.asked.tables)])
             self.calibration.learn(query, event.elapsed, math.exp(engine.slow - usual))
         elif outcome is api.Outcome.ERROR:
             engine.failed(FAIL_WEIGHT)
         elif outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET):
             engine.failed(CUT_WEIGHT)
-        elif outcome is api.Outcome.FULL:
-            engine.full_at = self.now
-
-    def observe(self, engine: EngineView, query: Query, elapsed: float) -> None:
-        """Latency over best, weighted by price: cheap queries run past the crowd and show little of it."""
-        if self.calibration.best[query.class_index] is not None:
-            weight = min(0.3, 0.1 * query.price / max(self.calibration.mean_price.mean, 1e-9))
-            seen = math.log(max(elapsed, 1e-6) / max(query.expected, 1e-6))
-            engine.slow += (seen - engine.slow) * weight
 
     def noted(self, event: api.AttemptNote) -> None:
-        query = self.out(event)
-        if query is None or query.engine is None:
+        query = self.queries.get(event.query)
+        if query is None or query.engine is None or query.attempts != event.attempt + 1:
             return
         query.engine.sign = self.now
-        if event.kind is not api.NoteKind.PROGRESS or query.done:
-            return
         elapsed = self.now - query.sent
-        projected = elapsed / max(event.value, 1e-3)
-        crowd = math.exp(max(0.0, query.engine.slow))
-        if projected - elapsed > RUNAWAY * query.expected * crowd:
+        to_go = elapsed / max(event.value, 1e-3) - elapsed
+        out_of_reach = to_go > RUNAWAY * query.expected * math.exp(max(0.0, query.engine.slow))
+        if event.kind is api.NoteKind.PROGRESS and out_of_reach and not query.done:
             self.begin_anew(query)
 
     def begin_anew(self, query: Query) -> None:
         """Call an attempt off whose end is out of reach; its outcome then leads to another attempt."""
-        able = self.settings.limits.cancel and not query.cancelled
-        if able and self.retries.allows(self.now) and self.may_try_again(query, ran=True):
+        able = self.settings.limits.cancel and not query.cancelled and self.retries.allows(self.now)
+        if able and self.may_try_again(query, ran=True):
             query.cancelled = True
-            self.actions.append(api.Cancel(query.id, query.attempts - 1))
+            self.actions.append(api.Cancel(query.asked.query, query.attempts - 1))
 
     def dropped(self, query_id: int) -> None:
         query = self.queries.get(query_id)
-        if query is not None:
-            query.done = True
-        if query is not None and query.engine is None:
+        if query is not None and query.waiting():
             self.over(query)
-
-    # Ends
+        elif query is not None:
+            query.done = True
 
     def over(self, query: Query) -> None:
         """Nothing is owed and nothing is out: forget the query, and let the next of its key go."""
         query.done = True
-        self.queries.pop(query.id, None)
+        self.queries.pop(query.asked.query, None)
         following = self.order.leave(query)
         if following is not None and following.waiting():
             self.hold(following)
@@ -618,30 +545,35 @@
             dropped_until = first + kind.dedup_window - 2 * TICK_S
             if kind.effect is api.Effect.UNSAFE or self.now >= dropped_until:
                 return False
-        in_time = self.now + query.expected < query.deadline
-        return in_time and query.attempts < self.settings.limits.max_attempts
+        left = query.attempts < self.settings.limits.max_attempts
+        return left and self.now + query.expected < query.asked.deadline
 
     def give_up(self, query: Query) -> None:
         """The final answer, at once: refused where the client may safely try again, else failed."""
-        kind, ran = query.kind, bool(query.may_have_run)
+        kind = query.kind
         dropped_by_all = kind.effect is api.Effect.KEYED and kind.dedup_scope is api.DedupScope.ALL
-        if kind.effect is api.Effect.SAFE or dropped_by_all or not ran:
-            self.actions.append(api.Refuse(query.id, self.hint(query)))
-        else:
-            self.actions.append(api.Fail(query.id))
+        harmless = kind.effect is api.Effect.SAFE or dropped_by_all or not query.may_have_run
+        answer = api.Refuse(query.asked.query, self.hint(query)) if harmless else api.Fail(query.asked.query)
+        self.actions.append(answer)
         self.over(query)
 
     def hint(self, query: Query) -> float:
         """When the tenant's debt will be paid, plus jitter so that the refused do not come back as one."""
-        wait = max(self.account(query).debt_time(), self.calibration.usual[query.class_index])
+        wait = max(self.account(query).debt_time(), self.calibration.usual[query.asked.query_class])
         wait *= 1 + HINT_JITTER * self.random.random()
         return min(self.settings.limits.max_retry_after, wait) if self.settings.limits.retry_hints else 0.0
 
-    # Budgets and release
-
     def account(self, query: Query) -> Account:
-        cores = sum(engine.cores * engine.share for engine in self.router.order(query.tables))
-        return self.release.account(query, self.now, cores)
+        """The tenant's account, or the class's where there are no tenants, at its share of our cores."""
+        tenants = self.settings.tenants
+        owner = query.asked.tenant if tenants else query.asked.query_class
+        if owner not in self.accounts:
+            even = 1.0 / max(1, len(self.settings.classes))
+            self.accounts[owner] = Account(tenants[owner].share if owner < len(tenants) else even)
+        account = self.accounts[owner]
+        cores = sum(engine.cores * engine.share for engine in self.router.order(query.asked.tables))
+        account.advance(self.now, account.share * cores)
+        return account
 
     def pump(self) -> None:
         """Release held queries while engines have room: in time before late, out of debt before owing."""
@@ -658,17 +590,16 @@
             if not heads:
                 return
             late, owing, _, _, line_id, query = min(heads, key=lambda one: one[:5])
-            if query.attempts and not self.may_try_again(query):
-                heappop(self.release.lines[line_id])
-                self.give_up(query)
-                continue
+            hopeless = query.attempts > 0 and not self.may_try_again(query)
             rationed = query.attempts > 0 and not self.retries.allows(self.now)
-            engine = None if rationed else self.router.choose(query, self.now, owing or late)
-            if engine is None:
+            engine = None if hopeless or rationed else self.router.choose(query, self.now, owing or late)
+            if hopeless:
+                self.give_up(query)
+            elif engine is None:
                 blocked.add(line_id)
-                continue
-            heappop(self.release.lines[line_id])
-            self.send(query, engine)
+            else:
+                heappop(self.release.lines[line_id])
+                self.send(query, engine)
 
     def send(self, query: Query, engine: EngineView) -> None:
         """Every attempt leaves through here."""
@@ -683,13 +614,13 @@
         query.tried.add(engine.entry.engine)
         if not engine.out:
             engine.sign = max(engine.sign, self.now)
-        engine.out[query.id] = query
+        engine.out[query.asked.query] = query
         engine.threads += query.kind.threads
         if engine.is_cold(self.now):
-            engine.cold_sent.append((self.now, query.expected * query.kind.threads))
+            engine.cold_sent.append((self.now, max(query.cost, query.expected * query.kind.threads)))
         if self.settings.priorities_heeded:
-            self.actions.append(api.SetTerms(query.id, 0.0, self.priority(query)))
-        self.actions.append(api.Send(query.id, engine.entry.engine, query.deadline))
+            self.actions.append(api.SetTerms(query.asked.query, 0.0, self.priority(query)))
+        self.actions.append(api.Send(query.asked.query, engine.entry.engine, query.asked.deadline))
 
     def priority(self, query: Query) -> int:
         """By worth for the price against the usual: what earns more for less goes before."""
@@ -697,15 +628,11 @@
         ratio = query.kind.worth / max(query.price, 1e-9) / max(usual, 1e-9)
         return 3 if ratio > 2 else 2 if ratio > 0.5 else 1 if ratio > 0.125 else 0
 
-    # Time
-
-    def start_tick(self) -> None:
-        self.ticked = self.now
-        self.actions.append(api.SetTimer(1, TICK_S))
-
     def tick(self) -> None:
         self.calibration.drift(self.now - self.ticked)
-        self.start_tick()
+        self.retries.forget(self.now)
+        self.ticked = self.now
+        self.actions.append(api.SetTimer(1, TICK_S))
         for engine in self.router.engines.values():
             engine.follow_pressure(self.now)
             engine.watch_silence(self.now, self.settings.note_period)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of micahold; none needs the simulator."""
--- /dev/null
+++ b/tests/build.py
@@ -0,0 +1,111 @@
+"""Hand-made settings and events for the tests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+
+from micahold import interface as api
+from micahold.logic import Controller
+
+LOOKUP, REPORT, LOAD = 0, 1, 2
+
+CLASSES = (
+    api.QueryClass("lookup", worth=1, aim=1.0, aim_stretch=2, deadline=5.0, late_share=0.1),
+    api.QueryClass("report", worth=10, aim=3.0, aim_stretch=2, deadline=15.0, threads=4, late_share=0.3),
+    api.QueryClass(
+        "load", worth=5, aim=4.0, aim_stretch=2, deadline=20.0, threads=2, effect=api.Effect.KEYED,
+        dedup_window=10.0, in_order=True, is_load=True,
+    ),
+)  # fmt: skip
+KINDS = (api.EngineKind("big", 16, 32000), api.EngineKind("small", 12, 24000))
+TENANTS = (api.Tenant("one", 0.6, 60), api.Tenant("two", 0.4, 40))
+LIMITS = api.Limits(cancel=True, retry_hints=True, max_attempts=4, max_open=1000, max_retry_after=1.0)
+RULES = api.Rules(
+    answer_slack=0.02, drain_grace=1.0, cold_from=0.3, cold_time=10.0, cold_multiple=3.0, cold_window=1.0
+)
+
+
+def settings(**changes: Any) -> api.Settings:
+    base = api.Settings(
+        gateways=2,
+        zones=("a", "b"),
+        kinds=KINDS,
+        classes=CLASSES,
+        tenants=TENANTS,
+        limits=LIMITS,
+        rules=RULES,
+    )
+    return replace(base, **changes)
+
+
+def change_class(index: int, **changes: Any) -> tuple[api.QueryClass, ...]:
+    """The usual classes with one of them changed."""
+    return tuple(replace(one, **changes) if at == index else one for at, one in enumerate(CLASSES))
+
+
+def entry(number: int, **changes: Any) -> api.EngineEntry:
+    return replace(
+        api.EngineEntry(f"e{number}", zone=number % 2, kind=number % 2, cell=number // 2), **changes
+    )
+
+
+def engines(number: int) -> api.ListUpdate:
+    return api.ListUpdate(api.ListKind.RESTORED, 1, tuple(entry(one) for one in range(number)))
+
+
+class Gateway:
+    """A controller with a clock, and the open attempts of what it has sent."""
+
+    def __init__(self, number: int = 4, seed: int = 1, **changes: Any) -> None:
+        self.settings = settings(**changes)
+        self.controller = Controller(self.settings, seed)
+        self.now = 100.0
+        self.next_id = 1
+        self.attempts: dict[int, int] = {}
+        self.engine_of: dict[int, str] = {}
+        self.tell(engines(number))
+
+    def tell(self, *events: api.Event, after: float = 0.0) -> list[api.Action]:
+        self.now += after
+        actions = self.controller.handle(self.now, events)
+        for action in actions:
+            if isinstance(action, api.Send):
+                self.attempts[action.query] = self.attempts.get(action.query, -1) + 1
+                self.engine_of[action.query] = action.engine
+        return actions
+
+    def query(self, query_class: int = LOOKUP, **changes: Any) -> api.QueryArrived:
+        self.next_id += 1
+        deadline = self.now + self.settings.classes[query_class].deadline
+        made = api.QueryArrived(self.next_id, query_class, 0, deadline, cost=0.1, tables=1)
+        return replace(made, **changes)
+
+    def ask(self, query_class: int = LOOKUP, **changes: Any) -> tuple[int, list[api.Action]]:
+        event = self.query(query_class, **changes)
+        return event.query, self.tell(event)
+
+    def ended(self, query: int, outcome: api.Outcome, elapsed: float = 0.1, **more: Any) -> api.AttemptEnded:
+        settled = outcome is api.Outcome.OK
+        return api.AttemptEnded(
+            query, self.attempts[query], self.engine_of[query], outcome, elapsed, settled, **more
+        )
+
+    def end(self, query: int, outcome: api.Outcome, after: float = 0.1, **more: Any) -> list[api.Action]:
+        self.now += after
+        return self.tell(self.ended(query, outcome, after, **more))
+
+    def tick(self, after: float = 0.05, times: int = 1) -> list[api.Action]:
+        """Let time pass; every timer is answered."""
+        done: list[api.Action] = []
+        for _ in range(times):
+            done += self.tell(api.TimerFired(1), after=after)
+        return done
+
+
+def sends(actions: list[api.Action]) -> list[api.Send]:
+    return [one for one in actions if isinstance(one, api.Send)]
+
+
+def finals(actions: list[api.Action]) -> list[api.Refuse | api.Fail]:
+    return [one for one in actions if isinstance(one, api.Refuse | api.Fail)]
