--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -36,6 +36,7 @@
 PATIENCE = 4.0  # silence is held against an engine after this many times the expected time
 TRIAL_GAP_S, TRIAL_GAP_MOST_S = 0.25, 4.0  # pause between trial queries to a quarantined engine
 COLD_SAFETY = 0.5  # part of the cold-start allowance that is spent; the rest covers estimates
+GRANT = 1.4  # memory granted, times the estimate: a spill costs the work again, a wait costs less
 TICK_S = 0.05  # pace of the controller's own checks
 RUNAWAY = 3.0  # an attempt projected to last this many times the expected is begun anew, where allowed
 
@@ -303,15 +304,12 @@
         best = min((index for index in free if index < HOMES), key=loads.__getitem__, default=None)
         # "Busier than the mean" by more than one query: below that a quiet gateway would lose its homes.
         if best is None or loads[best] - query.kind.threads / weights[best] > mean:
-            best = next((index for index in free if loads[index] < mean), best)
-        if best is None:
-            best = min(free, key=loads.__getitem__, default=None)
+            least = min(free, key=loads.__getitem__, default=None) if best is None else best
+            best = next((index for index in free if loads[index] < mean), least)
         if best is None and may_fail:
             # What a failing engine still answers beats a wait; its errors come back fast.
-            part = [
-                one for one in able if not one.silent and one.failing < HOPELESS and one.has_room(now, True)
-            ]
-            return min(part, key=lambda one: one.failing, default=None)
+            part = (one for one in able if one.failing < HOPELESS and one.has_room(now, True))
+            return min((one for one in part if not one.silent), key=lambda one: one.failing, default=None)
         return None if best is None else usable[best]
 
     def trial(self, query: Query, able: Iterable[EngineView], now: float) -> EngineView | None:
@@ -612,8 +610,9 @@
         engine.threads += query.kind.threads
         if engine.is_cold(self.now):
             engine.cold_sent.append((self.now, max(query.cost, query.expected * query.kind.threads)))
-        if self.settings.priorities_heeded:
-            self.actions.append(api.SetTerms(query.asked.query, 0.0, self.priority(query)))
+        if self.settings.priorities_heeded or self.settings.grants_heeded:
+            grant = GRANT * (query.asked.memory_mb or 0.0)
+            self.actions.append(api.SetTerms(query.asked.query, grant, self.priority(query)))
         self.actions.append(api.Send(query.asked.query, engine.entry.engine, query.asked.deadline))
 
     def priority(self, query: Query) -> int:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -137,3 +137,19 @@
     first, _ = gateway.ask(build.LOAD, key=1, cost=4.0)
     second, _ = gateway.ask(build.LOAD, key=2, cost=4.0)
     assert gateway.engine_of[first] != gateway.engine_of[second]
+
+
+def test_a_grant_leaves_room_above_the_estimate_and_is_left_to_the_engine_without_one() -> None:
+    """Grants near the estimate made queries spill, which cost far more than the memory they spared."""
+    gateway = Gateway(grants_heeded=True)
+    granted = []
+    for memory in (1000.0, None):
+        _, actions = gateway.ask(memory_mb=memory)
+        granted += [one.grant_mb for one in actions if isinstance(one, api.SetTerms)]
+    assert granted[0] >= 1250.0
+    assert granted[1] == 0.0
+
+
+def test_no_terms_are_sent_where_none_are_heeded() -> None:
+    _, actions = Gateway().ask(memory_mb=1000.0)
+    assert not [one for one in actions if isinstance(one, api.SetTerms)]
