--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,118 @@
+"""Each of the seven rules by hand-made events."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from micahold import interface as api
+from tests import build
+from tests.build import LOAD, LOOKUP, Gateway, finals, sends
+
+MAY_HAVE_RUN = [api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.RESET]
+NEVER_RAN = [api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT]
+
+
+def test_a_query_without_an_engine_gets_one_final_answer_before_its_deadline() -> None:
+    gateway = Gateway(number=0)
+    query, actions = gateway.ask()
+    answers = finals(actions) + finals(gateway.tick(times=99))
+    assert [one.query for one in answers] == [query]
+
+
+def test_nothing_is_sent_for_a_query_that_its_client_has_dropped() -> None:
+    gateway = Gateway()
+    query, _ = gateway.ask()
+    gateway.tell(api.QueryDropped(query))
+    actions = gateway.end(query, api.Outcome.ERROR)
+    assert not sends(actions)
+    assert not finals(actions)
+
+
+@pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+def test_an_unsafe_query_that_may_have_run_is_failed_at_once(outcome: api.Outcome) -> None:
+    gateway = Gateway(classes=build.change_class(LOOKUP, effect=api.Effect.UNSAFE))
+    query, _ = gateway.ask()
+    assert finals(gateway.end(query, outcome)) == [api.Fail(query)]
+
+
+@pytest.mark.parametrize("outcome", NEVER_RAN)
+def test_an_unsafe_query_that_never_ran_may_be_sent_again(outcome: api.Outcome) -> None:
+    gateway = Gateway(classes=build.change_class(LOOKUP, effect=api.Effect.UNSAFE))
+    query, _ = gateway.ask()
+    assert [one.query for one in sends(gateway.end(query, outcome))] == [query]
+
+
+@pytest.mark.parametrize("scope", [api.DedupScope.ZONE, api.DedupScope.CELL])
+def test_a_keyed_query_stays_in_the_group_that_drops_its_repeat(scope: api.DedupScope) -> None:
+    gateway = Gateway(number=8, classes=build.change_class(LOOKUP, effect=api.Effect.KEYED, dedup_scope=scope,
+                                                           dedup_window=3.0))  # fmt: skip
+    query, _ = gateway.ask()
+    first = int(gateway.engine_of[query][1:])
+    (again,) = sends(gateway.end(query, api.Outcome.ERROR))
+    second = int(again.engine[1:])
+    assert second % 2 == first % 2 if scope is api.DedupScope.ZONE else second // 2 == first // 2
+
+
+def test_a_keyed_query_is_not_sent_again_after_its_window() -> None:
+    gateway = Gateway(classes=build.change_class(LOOKUP, effect=api.Effect.KEYED, dedup_window=1.0))
+    query, _ = gateway.ask()
+    actions = gateway.end(query, api.Outcome.ERROR, after=1.5)
+    assert not sends(actions)
+    assert [one.query for one in finals(actions)] == [query]
+
+
+@pytest.mark.parametrize("state", [api.EngineState.DRAINING, api.EngineState.GONE])
+def test_nothing_new_goes_to_an_engine_that_leaves(state: api.EngineState) -> None:
+    gateway = Gateway(number=2)
+    gateway.tell(api.ListUpdate(api.ListKind.CHANGES, 2, (build.entry(0, state=state),)))
+    for _ in range(20):
+        query, _ = gateway.ask()
+        assert gateway.engine_of[query] == "e1"
+
+
+def test_an_engine_missing_from_a_full_list_is_gone() -> None:
+    gateway = Gateway(number=2)
+    gateway.tell(api.ListUpdate(api.ListKind.FULL, 2, (build.entry(1),)))
+    for _ in range(20):
+        query, _ = gateway.ask()
+        assert gateway.engine_of[query] == "e1"
+
+
+def test_a_cold_engine_is_sent_no_more_than_this_gateways_part() -> None:
+    gateway = Gateway(number=1)
+    gateway.tell(api.ListUpdate(api.ListKind.CHANGES, 2, (build.entry(0, started=gateway.now - 0.1),)))
+    rules = gateway.settings.rules
+    part = rules.cold_multiple * rules.cold_from * 16 * rules.cold_window / gateway.settings.gateways
+    sent = sends(gateway.tell(*(gateway.query(cost=0.1) for _ in range(300))))
+    assert 0 < len(sent) * 0.1 <= part
+
+
+def test_loads_of_one_key_run_one_at_a_time_and_rest_after_a_doubtful_end() -> None:
+    gateway = Gateway(rules=replace(build.RULES, order_settle=0.4))
+    first, _ = gateway.ask(LOAD, key=7)
+    second, actions = gateway.ask(LOAD, key=7)
+    assert not sends(actions)
+    gateway.tell(api.QueryDropped(first))
+    assert not sends(gateway.end(first, api.Outcome.TIMEOUT))
+    assert not sends(gateway.tick(times=7))
+    assert [one.query for one in sends(gateway.tick(times=3))] == [second]
+
+
+def test_a_bound_class_is_held_when_its_engines_are_gone() -> None:
+    gateway = Gateway(number=4, classes=build.change_class(LOOKUP, allowed_kinds=frozenset({0})))
+    leaving = tuple(build.entry(one, state=api.EngineState.GONE) for one in (0, 2))
+    gateway.tell(api.ListUpdate(api.ListKind.CHANGES, 2, leaving))
+    query, actions = gateway.ask()
+    actions += gateway.tick(times=99)
+    assert not sends(actions)
+    assert [one.query for one in finals(actions)] == [query]
+
+
+def test_further_attempts_stay_within_their_ration() -> None:
+    rules = replace(build.RULES, retry_window=5.0, retry_free=2.0, retry_share=0.1)
+    gateway = Gateway(rules=rules)
+    asked = [gateway.ask()[0] for _ in range(10)]
+    again = sum(len(sends(gateway.end(query, api.Outcome.FULL, after=0.01))) for query in asked)
+    assert again == 3
