--- a/micahold/benchlink/host.py
+++ b/micahold/benchlink/host.py
@@ -21,6 +21,9 @@
     def __init__(self) -> None:
         self.controllers: dict[str, Controller] = {}
         self.lists: dict[int, tuple[api.EngineEntry, ...]] = {}
+        self.named: dict[
+            str, tuple[set[int], set[str]]
+        ] = {}  # requests and engines each instance was told of
 
     def answer(self, batch: Any) -> dict[str, Any]:
         """The reply to one batch; ``WireError`` when it is not one."""
@@ -44,6 +47,7 @@
     def _serve(self, who: str, now: float, news: list[Any]) -> list[dict[str, Any]]:
         out: list[dict[str, Any]] = []
         events: list[api.Event] = []
+        self.named.setdefault(who, (set(), set()))
         for item in news:
             if not isinstance(item, dict):
                 raise codec.WireError(f"an event of {who!r} is not an object")
@@ -61,18 +65,33 @@
                     lines = tuple(codec.decode_entry(line) for line in item.get("members_list") or [])
                     self.lists[item.get("table", 0)] = lines
                 elif what == "update":
-                    events.append(codec.decode_update(item, self.lists))
+                    update = codec.decode_update(item, self.lists)
+                    self.named[who][1].update(line.engine for line in update.entries)
+                    events.append(update)
                 else:
                     event = codec.decode_event(item)
                     if event is not None:
+                        self._check_names(who, event)
                         events.append(event)
             except codec.WireError as error:
                 complain(f"{who}: {error}")
         self._decide(who, now, events, out)
         return out
 
+    def _check_names(self, who: str, event: api.Event) -> None:
+        """Tell of an outcome or note for a request or engine never named; the decisions ignore it."""
+        requests, engines = self.named[who]
+        if isinstance(event, api.QueryArrived):
+            requests.add(event.query)
+        elif isinstance(event, api.AttemptEnded | api.AttemptNote | api.AttemptStreaming):
+            if event.query not in requests:
+                complain(f"{who}: unknown request {event.query}")
+            elif event.engine not in engines:
+                complain(f"{who}: unknown engine {event.engine!r}")
+
     def _launch(self, who: str, item: dict[str, Any], out: list[dict[str, Any]]) -> None:
         self.controllers.pop(who, None)
+        self.named[who] = (set(), set())
         settings = codec.decode_settings(item.get("env") or {})
         try:
             self.controllers[who] = Controller(settings, int(item.get("salt") or 0))
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -192,7 +192,7 @@
     late = {"what": "answer", "txn": 1, "engine": sent["engine"], "result": 20}
     reply = host.answer(batch(10.1, {"what": "stop"}, *START, late))
     assert not out(reply, "relay")
-    assert capsys.readouterr().err == ""
+    assert "unknown request 1" in capsys.readouterr().err
 
 
 def test_an_event_for_an_instance_that_is_not_running_is_told(capsys: pytest.CaptureFixture[str]) -> None:
@@ -200,6 +200,23 @@
     assert "front/0" in capsys.readouterr().err
 
 
+@pytest.mark.parametrize(("txn", "engine", "said"), [(99, "ea", "request 99"), (7, "no", "engine 'no'")])
+def test_outcomes_of_what_was_never_named_are_told_and_ignored(
+    txn: int, engine: str, said: str, capsys: pytest.CaptureFixture[str]
+) -> None:
+    host = Host()
+    host.answer(batch(10.0, *START, call(7)))
+    late = {"what": "answer", "txn": txn, "engine": engine, "result": 10, "settled": True}
+    host.answer(batch(10.1, late))
+    assert said in capsys.readouterr().err
+
+
+def test_a_drop_of_an_unknown_request_is_legal(capsys: pytest.CaptureFixture[str]) -> None:
+    host = Host()
+    host.answer(batch(10.0, *START, {"what": "dropped", "txn": 5}))
+    assert capsys.readouterr().err == ""
+
+
 def test_a_fault_of_the_decisions_is_the_wires_message(monkeypatch: pytest.MonkeyPatch) -> None:
     host = Host()
     host.answer(batch(10.0, *START))
