No work that grows with the fleet; quarantine ends by fading instead of trials

Change: the hash order is walked lazily, totals are kept up with each change, timers follow what is due. The even trial rate added up over all gateways, so trials are folded into failures that fade with time; an engine just back gets one query at a time until it answers. An attempt that timed out without any sign from the engine since counts as a broken connection. Guards also against: idle gateways' load on any machine. Could harm: a pace known only every 200 ms.

--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -8,11 +8,11 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 from heapq import heappop, heappush
-from itertools import count
+from itertools import count, islice
 from random import Random
 
 from micahold import interface as api
@@ -31,23 +31,19 @@
 SHARE_STEP = 0.1  # step by which this gateway's share of an engine follows pressure
 BEST_DRIFT = 0.01  # the best latency known rises by this share a second, to forget a lucky spell
 SHUN_ABOVE = 0.25  # failing share above which an engine is quarantined
-HOPELESS = 0.9  # failing share from which an engine has nothing to give even when all else is full
 FAIL_WEIGHT, CUT_WEIGHT = 0.2, 0.9  # weight of one error, of one broken or refused connection
-PATIENCE = 4.0  # silence is held against an engine after this many times the expected time
-TRIAL_GAP_S, TRIAL_GAP_MOST_S = 0.25, 4.0  # pause between trial queries to a quarantined engine
+PATIENCE, TRUST_S = 4.0, 0.25  # silence counts after this many times the expected time, and this beyond it
+FAIL_HALF_LIFE_S = 5.0  # failures fade by half in this time
 COLD_SAFETY = 0.5  # part of the cold-start allowance that is spent; the rest covers estimates
 GRANT = 1.4  # memory granted, times the estimate: a spill costs the work again, a wait costs less
-TICK_S = 0.05  # pace of the controller's own checks
+TICK_S, WATCH_S = 0.05, 0.2  # pace of the controller's own checks while queries wait, while attempts are out
+USUAL_STEP = 0.05  # most that one run moves what is held to be the usual slowness of engines
 RUNAWAY = 3.0  # an attempt projected to last this many times the expected is begun anew, where allowed
 
 
 LineId = tuple[bool, int, int, bool]  # late, tenant, class, tried before
 
 
-def middle(values: Sequence[float]) -> float:
-    return sorted(values)[len(values) // 2] if values else 0.0
-
-
 @dataclass(slots=True)
 class WeightedMean:
     """Mean over about the last ``LEARN_RUNS`` runs; the sum and its weight fade alike."""
@@ -69,7 +65,6 @@
     """Prices: the told cost, or the class's learned mean, times the factor of class and table group."""
 
     def __init__(self, classes: Sequence[api.QueryClass]) -> None:
-        self.classes = classes
         self.groups: dict[tuple[int, int], WeightedMean] = {}
         self.all = WeightedMean()
         self.class_cost = [WeightedMean() for _ in classes]
@@ -80,9 +75,6 @@
         self.mean_price = WeightedMean()
         self.mean_worth = WeightedMean()
 
-    def cost(self, class_index: int, told: float | None) -> float:
-        return told or self.class_cost[class_index].mean or self.classes[class_index].aim
-
     def price(self, query: Query) -> float:
         group = self.groups.get((query.asked.query_class, query.asked.tables))
         factor = math.exp(group.mean - self.all.mean) if group is not None else 1.0
@@ -124,13 +116,6 @@
         self.level = min(rate * BURST_S, self.level + rate * passed)
         self.use *= 0.5 ** (passed / USE_HALF_LIFE_S)
 
-    def charge(self, price: float) -> None:
-        self.level -= price
-        self.use += price
-
-    def debt_time(self) -> float:
-        return max(0.0, -self.level) / max(self.rate, 1e-9)
-
 
 class RetryBudget:
     """Further attempts within the rationed window; no ration where the window is 0."""
@@ -141,17 +126,14 @@
         self.extra: deque[float] = deque()
 
     def allows(self, now: float) -> bool:
-        self.forget(now)
-        most = self.rules.retry_free + self.rules.retry_share * len(self.taken)
-        return self.rules.retry_window <= 0 or len(self.extra) + 1 <= most
-
-    def forget(self, now: float) -> None:
         """Taken queries leave the window a bit early, attempts a bit late: an edge breaks no rule."""
         since = now - self.rules.retry_window
         while self.taken and self.taken[0] <= since + TICK_S:
             self.taken.popleft()
         while self.extra and self.extra[0] < since - TICK_S:
             self.extra.popleft()
+        most = self.rules.retry_free + self.rules.retry_share * len(self.taken)
+        return self.rules.retry_window <= 0 or len(self.extra) + 1 <= most
 
 
 class EngineView:
@@ -160,15 +142,15 @@
     def __init__(self, entry: api.EngineEntry, settings: api.Settings, now: float) -> None:
         self.settings, self.entry = settings, entry
         self.out: dict[int, Query] = {}
-        self.threads = 0
         self.share = 1.0 / settings.gateways
         self.slow = 0.0  # ln of latency over best, by the runs that ended
         self.aged = 0.0  # the same by those still out, which only grows: a crowd that ends nothing shows here
-        self.failing = 0.0
-        self.silent = False
+        self.threads, self.failing = 0, 0.0
+        self.silent = False  # by the attempts that are out
+        self.mute = False  # by the last that ended: no answer, not even an error
         self.sign = now
         self.busy_until = 0.0
-        self.trial_at, self.trial_gap = 0.0, TRIAL_GAP_S
+        self.faded, self.on_trial = now, False  # on trial from quarantine until an answer
         self.cold_sent: list[tuple[float, float]] = []
         self.cores = next((kind.cores for kind in settings.kinds[entry.kind :]), 0.0) or 1.0
 
@@ -178,9 +160,11 @@
     def cold_room(self, now: float, work: float) -> bool:
         """Rule 4, kept alone: this gateway's part of what a cold engine takes in any window."""
         rules = self.settings.rules
+        if not self.is_cold(now):
+            return True
         spent = sum(sent for at, sent in self.cold_sent if at >= now - rules.cold_window - TICK_S)
         total = rules.cold_multiple * rules.cold_from * self.cores * rules.cold_window
-        return not self.is_cold(now) or spent + work <= total * COLD_SAFETY / self.settings.gateways
+        return spent + work <= total * COLD_SAFETY / self.settings.gateways
 
     def bound(self) -> float:
         return max(1.0, BOUND_THREADS * self.cores * self.share)
@@ -189,30 +173,30 @@
         return max(self.slow, self.aged) > math.log(PRESSURE) or now < self.busy_until
 
     def has_room(self, now: float, always: bool) -> bool:
+        if self.on_trial and self.failing <= SHUN_ABOVE:
+            return not self.out  # just back: one query at a time until it has answered one
         return self.threads < self.bound() or not (always or self.pressed(now))
 
     def holds(self, tables: int) -> bool:
         """A load of ours has that group there: other loads and readers that wait would stand still."""
         return any(query.kind.is_load and query.asked.tables == tables for query in self.out.values())
 
-    def quarantined(self) -> bool:
+    def quarantined(self, now: float) -> bool:
+        """The way back is by time alone: failures fade, so each gateway tries again now and then."""
+        self.failing *= 0.5 ** ((now - self.faded) / FAIL_HALF_LIFE_S)
+        self.faded = now
+        self.on_trial = self.on_trial or self.failing > SHUN_ABOVE
         return self.silent or self.failing > SHUN_ABOVE
 
-    def failed(self, weight: float) -> None:
-        self.failing += (1 - self.failing) * weight
-
-    def answered(self) -> None:
-        self.failing *= 1 - FAIL_WEIGHT
-        self.trial_gap = TRIAL_GAP_S
-
-    def follow_pressure(self, now: float) -> None:
-        """The share of this engine that is ours: 1 / gateways until latency tells otherwise."""
-        held = self.threads / (BOUND_THREADS * self.cores)
+    def follow_pressure(self, now: float, step: float) -> float:
+        """The share of this engine that is ours: 1 / gateways until latency tells otherwise; cores gained."""
+        held, before = self.threads / (BOUND_THREADS * self.cores), self.share
         if not self.pressed(now):
             if held > self.share * (1 - SHARE_STEP):
-                self.share = min(1.0, max(self.share * (1 + SHARE_STEP), held))
+                self.share = min(1.0, max(self.share * (1 + step), held))
         elif self.threads >= self.bound() * (1 - SHARE_STEP):
-            self.share = max(1.0 / (BOUND_THREADS * self.cores), self.share * (1 - SHARE_STEP))
+            self.share = max(1.0 / (BOUND_THREADS * self.cores), self.share * (1 - step))
+        return (self.share - before) * self.cores
 
     def watch_silence(self, now: float, note_period: float) -> None:
         """No sign for longer than some attempt should have taken: held against it until it gives one."""
@@ -222,29 +206,37 @@
         # What is out is out because it is long: the same crowd shows about twice as strong as in ended runs.
         self.aged = math.log(max(waited / best / 2, 1.0)) if best > 0 else 0.0
         for query in self.out.values():
-            due = PATIENCE * query.expected * math.exp(max(0.0, self.slow)) + TRIAL_GAP_S
+            due = PATIENCE * query.expected * math.exp(max(0.0, self.slow)) + TRUST_S
             due = 2 * note_period if note_period > 0 else due
             self.silent = self.silent or now - max(query.sent, self.sign) > due
 
 
+Views = list[EngineView]
+
+
 class Router:
     """Which engine a query goes to: hash order by table group, alike at all gateways."""
 
     def __init__(self, settings: api.Settings, calibration: Calibration) -> None:
         self.settings, self.calibration = settings, calibration
         self.engines: dict[str, EngineView] = {}
+        self.listed: dict[str, EngineView] = {}  # those not gone
         self.orders: dict[int, list[EngineView]] = {}
+        # Kept up with each change, so that no query, answer or tick sums over the fleet.
+        self.active: dict[str, EngineView] = {}  # engines with attempts of ours out
+        self.threads = 0  # ours, on all engines
+        self.cores = 0.0  # of all engines that are up
+        self.own_cores = 0.0  # this gateway's share of those not gone
+        self.usual = 0.0  # the usual slowness of engines; a few that are far off hardly move it
 
     def order(self, tables: int) -> list[EngineView]:
-        known = self.orders.get(tables)
-        if known is None:
-            ranked = sorted(
-                (blake2b(f"{tables}:{name}".encode(), digest_size=8).digest(), name)
-                for name, view in self.engines.items()
-                if view.entry.state is not api.EngineState.GONE
-            )
-            known = self.orders[tables] = [self.engines[name] for _, name in ranked]
-        return known
+        if tables not in self.orders:
+
+            def rank(view: EngineView) -> bytes:
+                return blake2b(f"{tables}:{view.entry.engine}".encode(), digest_size=8).digest()
+
+            self.orders[tables] = sorted(self.listed.values(), key=rank)
+        return self.orders[tables]
 
     def update(self, now: float, news: api.ListUpdate) -> None:
         """A view is kept for good, and with it what a cold engine was sent; a restart clears its record."""
@@ -252,77 +244,85 @@
             for view in self.engines.values():
                 view.entry = replace(view.entry, state=api.EngineState.GONE)
         for entry in news.entries:
-            view = self.engines.setdefault(entry.engine, EngineView(entry, self.settings, now))
+            view = self.engines.get(entry.engine) or EngineView(entry, self.settings, now)
+            self.engines[entry.engine] = view
             if entry.started > view.entry.started:
-                view.failing, view.slow = 0.0, 0.0
-                view.cold_sent = [
-                    one for one in view.cold_sent if one[0] > now - self.settings.rules.cold_window
-                ]
+                view.failing, view.slow, view.on_trial = 0.0, 0.0, False
+                recent = now - self.settings.rules.cold_window
+                view.cold_sent = [one for one in view.cold_sent if one[0] > recent]
             view.entry = entry
-        self.orders.clear()
+        before, gone = self.listed, api.EngineState.GONE
+        self.listed = {name: view for name, view in self.engines.items() if view.entry.state is not gone}
+        if before.keys() != self.listed.keys():
+            self.orders.clear()
+        self.cores = sum(one.cores for one in self.listed.values() if one.entry.state is api.EngineState.UP)
+        self.own_cores = sum(view.cores * view.share for view in self.listed.values())
 
     def allowed(self, query: Query, engine: EngineView) -> bool:
         """Rules 2, 3 and 6: placement, drains, and the group that drops a keyed query's repeats."""
         kind, entry = query.kind, engine.entry
+        if entry.state is not api.EngineState.UP:
+            return False
+        if kind.allowed_kinds is not None and entry.kind not in kind.allowed_kinds:
+            return False
+        if kind.allowed_zones is not None and entry.zone not in kind.allowed_zones:
+            return False
         for _, ran in query.may_have_run if kind.effect is api.Effect.KEYED else ():
-            strays = {
-                api.DedupScope.ZONE: entry.zone != ran.zone,
-                api.DedupScope.CELL: entry.cell != ran.cell,
-            }
-            if strays.get(kind.dedup_scope, False):
+            if kind.dedup_scope is api.DedupScope.ZONE and entry.zone != ran.zone:
+                return False
+            if kind.dedup_scope is api.DedupScope.CELL and entry.cell != ran.cell:
                 return False
-        kind_fits = kind.allowed_kinds is None or entry.kind in kind.allowed_kinds
-        zone_fits = kind.allowed_zones is None or entry.zone in kind.allowed_zones
-        return entry.state is api.EngineState.UP and kind_fits and zone_fits
+        return True
 
-    def weight(self, engine: EngineView, now: float, usual: float) -> float:
-        """Cores at the pace seen; only an engine well off the fleet's middle, or a cold one, counts less."""
-        behind = engine.slow - usual
+    def weight(self, engine: EngineView, now: float) -> float:
+        """Cores at the pace seen; only an engine well off the usual, or a cold one, counts less."""
+        behind = engine.slow - self.usual
         cores = engine.cores * (math.exp(-behind) if behind > math.log(PRESSURE) / 2 else 1.0)
         return cores * max(0.1, self.settings.rules.cold_from) if engine.is_cold(now) else cores
 
     def choose(self, query: Query, now: float, needs_room: bool, may_fail: bool) -> EngineView | None:
-        work = max(query.cost, self.calibration.expected(query) * query.kind.threads)
-        allowed = [engine for engine in self.order(query.asked.tables) if self.allowed(query, engine)]
-        if query.kind.is_load and any(kind.waits_for_loads for kind in self.settings.classes):
-            # Readers stand still where a load holds their group: loads start from the order's far end.
-            allowed.reverse()
-        able = [engine for engine in allowed if engine.cold_room(now, work)]
-        sound = [engine for engine in able if not engine.quarantined()]
-        if (trial := self.trial(query, able, now)) is not None:
-            return trial
+        """The least loaded home; the order is walked on only while homes are full or busy."""
+
+        def load(engine: EngineView) -> float:
+            return engine.threads / self.weight(engine, now)
+
+        mean = self.threads / max(self.cores, 1e-9)
+        shunned, passed = Views(), Views()
+        walk = self.walk(query, now, shunned, passed)
+        homes = list(islice(walk, HOMES))
         # Never shun so many that nothing is left: with every engine under suspicion all are used again.
-        usable = sound or able
-        if query.tried and any(engine.entry.engine not in query.tried for engine in usable):
-            usable = [engine for engine in usable if engine.entry.engine not in query.tried]
-        if query.kind.is_load or query.kind.waits_for_loads:
-            usable = [engine for engine in usable if not engine.holds(query.asked.tables)] or usable
-        usual = middle([engine.slow for engine in usable])
-        weights = [self.weight(engine, now, usual) for engine in usable]
-        mean = sum(engine.threads for engine in usable) / max(sum(weights), 1e-9)
-        loads = [engine.threads / weight for engine, weight in zip(usable, weights, strict=True)]
-        free = [index for index, engine in enumerate(usable) if engine.has_room(now, needs_room)]
-        best = min((index for index in free if index < HOMES), key=loads.__getitem__, default=None)
+        free = [one for one in homes or passed or shunned if one.has_room(now, needs_room)]
+        best = min(free, key=load, default=None)
         # "Busier than the mean" by more than one query: below that a quiet gateway would lose its homes.
-        if best is None or loads[best] - query.kind.threads / weights[best] > mean:
-            least = min(free, key=loads.__getitem__, default=None) if best is None else best
-            best = next((index for index in free if loads[index] < mean), least)
+        if best is None or load(best) - query.kind.threads / self.weight(best, now) > mean:
+            further = [] if best is None else [best]
+            for engine in walk:
+                if engine.has_room(now, needs_room):
+                    if load(engine) < mean:
+                        return engine
+                    further += [] if free else [engine]
+            best = min(further, key=load, default=None)
         if best is None and may_fail:
             # What a failing engine still answers beats a wait; its errors come back fast.
-            part = (one for one in able if one.failing < HOPELESS and one.has_room(now, True))
-            return min((one for one in part if not one.silent), key=lambda one: one.failing, default=None)
-        return None if best is None else usable[best]
-
-    def trial(self, query: Query, able: Iterable[EngineView], now: float) -> EngineView | None:
-        """The way back: now and then a cheap query that is safe to repeat goes to a quarantined engine."""
-        cheap = query.price <= self.calibration.mean_price.mean
-        fit = cheap and query.kind.effect is api.Effect.SAFE and not query.attempts
-        for engine in able:
-            if fit and engine.quarantined() and now >= engine.trial_at:
-                engine.trial_at = now + engine.trial_gap
-                engine.trial_gap = min(TRIAL_GAP_MOST_S, engine.trial_gap * 2)
-                return engine
-        return None
+            part = (one for one in shunned if not one.mute and one.has_room(now, True))
+            best = min(part, key=lambda one: one.failing, default=None)
+        return best
+
+    def walk(self, query: Query, now: float, shunned: Views, passed: Views) -> Iterator[EngineView]:
+        """The usable engines in the group's order; the others that are allowed are set aside on the way."""
+        work = max(query.cost, self.calibration.expected(query) * query.kind.threads)
+        kept_apart = query.kind.is_load or query.kind.waits_for_loads
+        # Readers stand still where a load holds their group: loads start from the order's far end.
+        far = query.kind.is_load and any(kind.waits_for_loads for kind in self.settings.classes)
+        for engine in self.order(query.asked.tables)[:: -1 if far else 1]:
+            if not self.allowed(query, engine) or not engine.cold_room(now, work):
+                continue
+            if engine.quarantined(now):
+                shunned.append(engine)
+            elif engine.entry.engine in query.tried or (kept_apart and engine.holds(query.asked.tables)):
+                passed.append(engine)
+            else:
+                yield engine
 
 
 class KeyOrder:
@@ -339,11 +339,12 @@
 
     def leave(self, query: Query) -> Query | None:
         """For a query that is over and has no attempt out; answers with the one that is first now."""
-        line = self.lines.get(query.key, deque())
-        if query in line:
-            line.remove(query)
+        line = self.lines.get(query.key)
+        if line is None:
+            return None
+        line.remove(query)
         if not line:
-            self.lines.pop(query.key, None)
+            del self.lines[query.key]
         return line[0] if line else None
 
 
@@ -387,16 +388,15 @@
         self.accounts: dict[int, Account] = {}
         self.waits: list[tuple[float, int, Query]] = []
         self.blocked: set[LineId] = set()  # lines no engine had room for since the last change
-        self.cores = 0.0  # this gateway's share of all cores
         self.actions: list[api.Action] = []
-        self.now, self.ticked = 0.0, -1.0
+        self.now, self.ticked, self.timer_at = 0.0, -1.0, math.inf
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         """Take the events of one moment, in turn, and answer with the actions of that moment."""
         self.now, self.actions = now, []
-        if self.ticked < 0:
+        unwatched = self.ticked < 0
+        if unwatched:
             self.tick()
-            self.watch_list()
         for event in events:
             match event:
                 case api.QueryArrived():
@@ -406,31 +406,33 @@
                 case api.AttemptNote():
                     self.noted(event)
                 case api.TimerFired():
+                    self.timer_at = math.inf if now > self.timer_at - TICK_S / 2 else self.timer_at
                     self.tick()
                 case api.ListUpdate():
                     self.router.update(now, event)
-                    self.refresh()
-                    if event.kind is api.ListKind.UNAVAILABLE:
-                        self.watch_list()
+                    self.blocked.clear()
+                    unwatched = unwatched or event.kind is api.ListKind.UNAVAILABLE
                 case api.QueryDropped() if event.query in self.queries:
-                    self.dropped(self.queries[event.query])
+                    query = self.queries[event.query]
+                    query.done = True
+                    if query.engine is None:
+                        self.over(query)
+        if unwatched and not self.settings.list_is_pushed:
+            self.actions.append(api.WatchList())
         self.pump()
         self.end_waits()
+        # The next tick by what is due: soon while queries wait, later while attempts are out, else none.
+        soon = self.waits or self.order.rests
+        due = now + (TICK_S if soon else WATCH_S if self.router.active else math.inf)
+        if due < self.timer_at - TICK_S / 2:
+            self.timer_at = due
+            self.actions.append(api.SetTimer(1, due - now))
         return self.actions
 
-    def refresh(self) -> None:
-        """What is kept between batches to spare work: a surge of arrivals must not cost a round each."""
-        self.blocked.clear()
-        self.cores = sum(engine.cores * engine.share for engine in self.router.order(0))
-
-    def watch_list(self) -> None:
-        if not self.settings.list_is_pushed:
-            self.actions.append(api.WatchList())
-
     def arrived(self, event: api.QueryArrived) -> None:
         kind = self.settings.classes[event.query_class]
         self.retries.taken.append(self.now)
-        cost = self.calibration.cost(event.query_class, event.cost)
+        cost = event.cost or self.calibration.class_cost[event.query_class].mean or kind.aim
         query = Query(event, kind, event.key if kind.in_order else None, cost)
         query.price = self.calibration.price(query)
         self.calibration.mean_price.learn(query.price)
@@ -440,19 +442,15 @@
         self.queries[query.asked.query] = query
         if query.key is not None:
             self.order.lines.setdefault(query.key, deque()).append(query)
-        if self.now >= query.asked.deadline:
-            self.give_up(query)
-        else:
-            self.hold(query)
+        self.hold(query)
 
     def hold(self, query: Query) -> None:
         """Hold a query until its deadline less its class's usual time; each time anew, or it is lost."""
         doubt = math.exp(-2 * self.calibration.spread[query.asked.query_class].mean)
         if self.now + query.expected * doubt > query.asked.deadline:
-            self.give_up(query)  # out of reach though the estimate may be high: it would stand in the way
-            return
+            return self.give_up(query)  # out of reach even if told too high: it would stand in the way
         usual = max(self.calibration.usual[query.asked.query_class], 2 * TICK_S)
-        heappush(self.waits, (max(self.now, query.asked.deadline - usual), next(self.release.serial), query))
+        heappush(self.waits, (query.asked.deadline - usual, next(self.release.serial), query))
         if self.order.may_run(query, self.now):
             self.release.hold(query, self.now > query.aim)
 
@@ -462,8 +460,12 @@
             return
         self.blocked.clear()
         engine, query.engine = self.router.engines[query.engine], None
-        engine.out.pop(query.asked.query, None)
+        del engine.out[query.asked.query]
         engine.threads -= query.kind.threads
+        self.router.threads -= query.kind.threads
+        if not engine.out:
+            del self.router.active[engine.entry.engine]
+            engine.silent, engine.aged = False, 0.0
         self.judge(query, engine, event)
         doubtful = event.outcome in (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED)
         if doubtful and query.key is not None:
@@ -480,32 +482,33 @@
     def judge(self, query: Query, engine: EngineView, event: api.AttemptEnded) -> None:
         outcome = event.outcome
         report = event.report or api.LoadReport()
-        reported_busy = max(report.busy or 0.0, report.memory_granted or 0.0) > BUSY
-        if reported_busy or outcome is api.Outcome.FULL:
+        if max(report.busy or 0.0, report.memory_granted or 0.0) > BUSY or outcome is api.Outcome.FULL:
             engine.busy_until = self.now + BUSY_FRESH_S
         if outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
             engine.sign = self.now
         if outcome is api.Outcome.OK:
-            engine.answered()
+            engine.failing, engine.on_trial = engine.failing * (1 - FAIL_WEIGHT), False
             if self.calibration.best[query.asked.query_class] < math.inf:
                 # Weighted by price: cheap queries run past the crowd and show little of it.
                 weight = min(0.3, 0.1 * query.price / max(self.calibration.mean_price.mean, 1e-9))
                 seen = math.log(max(event.elapsed, 1e-6) / max(query.expected, 1e-6))
                 engine.slow += (seen - engine.slow) * weight
-            usual = middle([one.slow for one in self.router.order(query.asked.tables)])
-            self.calibration.learn(query, event.elapsed, math.exp(engine.slow - usual))
+            behind = engine.slow - self.router.usual
+            self.router.usual += max(-USUAL_STEP, min(USUAL_STEP, behind))
+            self.calibration.learn(query, event.elapsed, math.exp(behind))
+        unheard = outcome is api.Outcome.TIMEOUT and engine.sign <= query.sent
+        engine.mute = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET) or unheard
+        if engine.mute:
+            engine.failing += (1 - engine.failing) * CUT_WEIGHT
         elif outcome is api.Outcome.ERROR:
-            engine.failed(FAIL_WEIGHT)
-        elif outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET):
-            engine.failed(CUT_WEIGHT)
+            engine.failing += (1 - engine.failing) * FAIL_WEIGHT
 
     def noted(self, event: api.AttemptNote) -> None:
         query = self.queries.get(event.query)
         if query is None or query.engine is None or query.attempts != event.attempt + 1:
             return
-        engine = self.router.engines[query.engine]
+        engine, elapsed = self.router.engines[query.engine], self.now - query.sent
         engine.sign = self.now
-        elapsed = self.now - query.sent
         to_go = elapsed / max(event.value, 1e-3) - elapsed
         out_of_reach = to_go > RUNAWAY * query.expected * math.exp(max(0.0, engine.slow))
         if event.kind is api.NoteKind.PROGRESS and out_of_reach and not query.done:
@@ -518,11 +521,6 @@
             query.cancelled = True
             self.actions.append(api.Cancel(query.asked.query, query.attempts - 1))
 
-    def dropped(self, query: Query) -> None:
-        if query.engine is None:
-            self.over(query)
-        query.done = True
-
     def over(self, query: Query) -> None:
         """Nothing is owed and nothing is out: forget the query, and let the next of its key go."""
         query.done = True
@@ -539,33 +537,28 @@
             dropped_until = first + kind.dedup_window - 2 * TICK_S
             if kind.effect is api.Effect.UNSAFE or self.now >= dropped_until:
                 return False
-        left = query.attempts < self.settings.limits.max_attempts
-        return left and self.now + query.expected < query.asked.deadline
+        in_time = self.now + query.expected < query.asked.deadline
+        return in_time and query.attempts < self.settings.limits.max_attempts
 
     def give_up(self, query: Query) -> None:
         """The final answer, at once: refused where the client may safely try again, else failed."""
-        kind = query.kind
+        kind, limits, account = query.kind, self.settings.limits, self.account(query)
         dropped_by_all = kind.effect is api.Effect.KEYED and kind.dedup_scope is api.DedupScope.ALL
+        # When the tenant's debt will be paid, plus jitter so that the refused do not come back as one.
+        wait = max(-account.level / max(account.rate, 1e-9), self.calibration.usual[query.asked.query_class])
+        wait *= 1 + HINT_JITTER * self.random.random()
+        hint = min(limits.max_retry_after, wait) if limits.retry_hints else 0.0
         harmless = kind.effect is api.Effect.SAFE or dropped_by_all or not query.may_have_run
-        answer = api.Refuse(query.asked.query, self.hint(query)) if harmless else api.Fail(query.asked.query)
-        self.actions.append(answer)
+        self.actions.append(api.Refuse(query.asked.query, hint) if harmless else api.Fail(query.asked.query))
         self.over(query)
 
-    def hint(self, query: Query) -> float:
-        """When the tenant's debt will be paid, plus jitter so that the refused do not come back as one."""
-        wait = max(self.account(query).debt_time(), self.calibration.usual[query.asked.query_class])
-        wait *= 1 + HINT_JITTER * self.random.random()
-        return min(self.settings.limits.max_retry_after, wait) if self.settings.limits.retry_hints else 0.0
-
     def account(self, query: Query) -> Account:
         """The tenant's account, or the class's where there are no tenants, at its share of our cores."""
         tenants = self.settings.tenants
         owner = query.asked.tenant if tenants else query.asked.query_class
-        if owner not in self.accounts:
-            even = 1.0 / max(1, len(self.settings.classes))
-            self.accounts[owner] = Account(tenants[owner].share if owner < len(tenants) else even)
-        account = self.accounts[owner]
-        account.advance(self.now, account.share * self.cores)
+        share = tenants[owner].share if owner < len(tenants) else 1.0 / len(self.settings.classes)
+        account = self.accounts.setdefault(owner, Account(share))
+        account.advance(self.now, account.share * self.router.own_cores)
         return account
 
     def pump(self) -> None:
@@ -582,14 +575,14 @@
             if not heads:
                 return
             late, owing, _, _, line_id, query = min(heads, key=lambda one: one[:5])
-            hopeless = query.attempts > 0 and not self.may_try_again(query)
+            if query.attempts > 0 and not self.may_try_again(query):
+                self.give_up(query)
+                continue
             allows = self.retries.allows(self.now)
-            stopped = hopeless or (query.attempts > 0 and not allows)
             may_fail = allows and query.kind.effect is api.Effect.SAFE
+            stopped = query.attempts > 0 and not allows
             engine = None if stopped else self.router.choose(query, self.now, owing or late, may_fail)
-            if hopeless:
-                self.give_up(query)
-            elif engine is None:
+            if engine is None:
                 self.blocked.add(line_id)
             else:
                 heappop(self.release.lines[line_id])
@@ -601,15 +594,18 @@
             self.retries.extra.append(self.now)
         if not query.charged:
             query.charged = True
-            self.account(query).charge(query.price)
+            account = self.account(query)
+            account.level -= query.price
+            account.use += query.price
         query.engine, query.sent, query.cancelled = engine.entry.engine, self.now, False
         query.expected = self.calibration.expected(query)
         query.attempts += 1
         query.tried.add(engine.entry.engine)
-        if not engine.out:
-            engine.sign = max(engine.sign, self.now)
+        engine.sign = engine.sign if engine.out else self.now
+        self.router.active[engine.entry.engine] = engine
         engine.out[query.asked.query] = query
         engine.threads += query.kind.threads
+        self.router.threads += query.kind.threads
         if engine.is_cold(self.now):
             engine.cold_sent.append((self.now, max(query.cost, query.expected * query.kind.threads)))
         if self.settings.priorities_heeded or self.settings.grants_heeded:
@@ -624,14 +620,12 @@
         return 3 if ratio > 2 else 2 if ratio > 0.5 else 1 if ratio > 0.125 else 0
 
     def tick(self) -> None:
-        drift = BEST_DRIFT * (self.now - self.ticked)
-        self.calibration.best = [best + drift for best in self.calibration.best]
-        self.ticked = self.now
-        self.retries.forget(self.now)
-        self.refresh()
-        self.actions.append(api.SetTimer(1, TICK_S))
-        for engine in self.router.engines.values():
-            engine.follow_pressure(self.now)
+        passed, self.ticked = self.now - max(self.ticked, 0.0), self.now
+        step = min(0.5, SHARE_STEP * passed / TICK_S)
+        self.calibration.best = [best + BEST_DRIFT * passed for best in self.calibration.best]
+        self.blocked.clear()
+        for engine in list(self.router.active.values()):
+            self.router.own_cores += engine.follow_pressure(self.now, step)
             engine.watch_silence(self.now, self.settings.note_period)
             for query in list(engine.out.values()) if engine.silent else ():
                 self.begin_anew(query)
@@ -642,7 +636,7 @@
 
     def end_waits(self) -> None:
         """After each release: a query may arrive with less time left than one tick."""
-        while self.waits and self.waits[0][0] <= self.now:
+        while self.waits and (self.waits[0][0] <= self.now or not self.waits[0][2].waiting()):
             query = heappop(self.waits)[2]
             if query.waiting():
                 self.give_up(query)
