Route by reports of others' queries, turns among homes, cold engines by lot

Change: others' queries count by load reports (by 1 - 2 / gateways), each gateway begins at its own turn among alike homes, views age, pressure lasts until a better report, cold engines by lot, left work called off. Guards also against: unequal gateways, reports that stop. Could harm: reports that are late and wrong.

--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -1,12 +1,12 @@
 """All decisions of micahold; the types that go in and out are in ``micahold/interface.py``.
 
-One ``Controller`` is one gateway, which sees its own traffic alone. ``docs/design.md`` tells where each
-part comes from.
+One ``Controller`` is one gateway, which sees its own traffic alone; ``docs/design.md`` tells of each part.
 """
 
 from __future__ import annotations
 
 import math
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, replace
@@ -26,18 +26,15 @@
 BOUND_THREADS = 1.5  # threads a core at which an engine with one gateway alone is full
 HOMES = 3  # engines of a table group's hash order that are tried first
 PRESSURE = 1.6  # latency above best, as a multiple, from which bounds bind
-BUSY = 0.95  # busy share in a fresh report from which bounds bind
-BUSY_FRESH_S = 1.0  # a busy report or a full engine is believed for this long
+BUSY, BUSY_FRESH_S = 0.95, 4.0  # busy share that is pressure, for so long or until a better report
 SHARE_STEP = 0.1  # step by which this gateway's share of an engine follows pressure
-BEST_DRIFT = 0.01  # the best latency known rises by this share a second, to forget a lucky spell
 SHUN_ABOVE = 0.25  # failing share above which an engine is quarantined
-FAIL_WEIGHT, CUT_WEIGHT = 0.2, 0.9  # weight of one error, of one broken or refused connection
-PATIENCE, TRUST_S = 4.0, 0.25  # silence counts after this many times the expected time, and this beyond it
-FAIL_HALF_LIFE_S = 5.0  # failures fade by half in this time
-COLD_SAFETY = 0.5  # part of the cold-start allowance that is spent; the rest covers estimates
+FAIL_WEIGHT, CUT_WEIGHT = (0.2, 0.9)  # weight of one error, of one broken or refused connection
+PATIENCE, TRUST_S = (4.0, 0.25)  # silence counts after this many times the expected time, and this beyond it
+REPORT_HALF_LIFE_S, VIEW_HALF_LIFE_S = 2.0, 5.0  # for a report; for pace and failures of an engine
+COLD_SAFETY, COLD_ONE = 1 / 3, 1 / 16  # parts of a cold engine's allowance: spent in all, by one lot
 GRANT = 1.4  # memory granted, times the estimate: a spill costs the work again, a wait costs less
-TICK_S, WATCH_S = 0.05, 0.2  # pace of the controller's own checks while queries wait, while attempts are out
-USUAL_STEP = 0.05  # most that one run moves what is held to be the usual slowness of engines
+TICK_S, WATCH_S = 0.05, 0.1  # pace of the checks while queries wait, while attempts are out
 RUNAWAY = 3.0  # an attempt projected to last this many times the expected is begun anew, where allowed
 
 
@@ -66,14 +63,11 @@
 
     def __init__(self, classes: Sequence[api.QueryClass]) -> None:
         self.groups: dict[tuple[int, int], WeightedMean] = {}
-        self.all = WeightedMean()
-        self.class_cost = [WeightedMean() for _ in classes]
-        self.class_unit = [WeightedMean() for _ in classes]
-        self.spread = [WeightedMean() for _ in classes]  # how far runs lie from that mean, either way
+        # By class: learned cost, mean of ln(seconds / cost), and how far runs lie from that mean, either way.
+        self.class_cost, self.class_unit, self.spread = ([WeightedMean() for _ in classes] for _ in range(3))
         self.best = [math.inf] * len(classes)  # lowest mean of ln(seconds / cost) so far
         self.usual = [kind.aim / 2 for kind in classes]
-        self.mean_price = WeightedMean()
-        self.mean_worth = WeightedMean()
+        self.all, self.mean_price, self.mean_worth = WeightedMean(), WeightedMean(), WeightedMean()
 
     def price(self, query: Query) -> float:
         group = self.groups.get((query.asked.query_class, query.asked.tables))
@@ -94,7 +88,7 @@
         self.class_unit[index].learn(unit)
         self.spread[index].learn(abs(unit - self.class_unit[index].mean))
         self.usual[index] += (elapsed - self.usual[index]) / LEARN_RUNS
-        if self.class_unit[index].weight >= LEARN_RUNS / 3:
+        if self.class_unit[index].weight >= LEARN_RUNS / 6:
             self.best[index] = min(self.class_unit[index].mean, self.best[index])
         paced = unit - math.log(engine_pace)
         self.groups.setdefault((index, query.asked.tables), WeightedMean()).learn(paced)
@@ -106,12 +100,10 @@
 
     def __init__(self, share: float) -> None:
         self.share = max(share, 1e-9)
-        self.rate = self.level = self.use = 0.0
-        self.at: float | None = None
+        self.rate = self.use = 0.0
+        self.level, self.at = math.inf, -math.inf
 
     def advance(self, now: float, rate: float) -> None:
-        if self.at is None:
-            self.level, self.at = rate * BURST_S, now
         passed, self.at, self.rate = now - self.at, now, rate
         self.level = min(rate * BURST_S, self.level + rate * passed)
         self.use *= 0.5 ** (passed / USE_HALF_LIFE_S)
@@ -122,8 +114,7 @@
 
     def __init__(self, rules: api.Rules) -> None:
         self.rules = rules
-        self.taken: deque[float] = deque()
-        self.extra: deque[float] = deque()
+        self.taken, self.extra = deque[float](), deque[float]()
 
     def allows(self, now: float) -> bool:
         """Taken queries leave the window a bit early, attempts a bit late: an edge breaks no rule."""
@@ -139,35 +130,38 @@
 class EngineView:
     """What this gateway knows of one engine."""
 
-    def __init__(self, entry: api.EngineEntry, settings: api.Settings, now: float) -> None:
+    def __init__(self, entry: api.EngineEntry, settings: api.Settings, now: float, random: Random) -> None:
         self.settings, self.entry = settings, entry
         self.out: dict[int, Query] = {}
-        self.share = 1.0 / settings.gateways
+        self.cores = next((kind.cores for kind in settings.kinds[entry.kind :]), 0.0) or 1.0
+        self.share, self.threads = 1.0 / settings.gateways, 0
         self.slow = 0.0  # ln of latency over best, by the runs that ended
         self.aged = 0.0  # the same by those still out, which only grows: a crowd that ends nothing shows here
-        self.threads, self.failing = 0, 0.0
+        self.failing = self.crowd = 0.0  # crowd: queries of others a core
         self.silent = False  # by the attempts that are out
         self.mute = False  # by the last that ended: no answer, not even an error
-        self.sign = now
-        self.busy_until = 0.0
-        self.faded, self.on_trial = now, False  # on trial from quarantine until an answer
-        self.cold_sent: list[tuple[float, float]] = []
-        self.cores = next((kind.cores for kind in settings.kinds[entry.kind :]), 0.0) or 1.0
+        self.on_trial = False  # from quarantine until an answer
+        self.sign = self.faded = now
+        self.paced = self.reported = self.busy_until = -math.inf
+        self.random, self.cold_phase = random, random.random() * settings.rules.cold_window
+        self.cold_window = self.cold_spent = self.lot = 0.0
 
     def is_cold(self, now: float) -> bool:
         return self.entry.started > 0 and now < self.entry.started + self.settings.rules.cold_time
 
     def cold_room(self, now: float, work: float) -> bool:
-        """Rule 4, kept alone: this gateway's part of what a cold engine takes in any window."""
+        """Rule 4: this gateway's even part; one query that is more goes by lot, as often as adds up to it."""
         rules = self.settings.rules
         if not self.is_cold(now):
             return True
-        spent = sum(sent for at, sent in self.cold_sent if at >= now - rules.cold_window - TICK_S)
+        window = (now + self.cold_phase) // (rules.cold_window + TICK_S)
+        if window != self.cold_window:
+            self.cold_window, self.cold_spent, self.lot = window, 0.0, self.random.random()
         total = rules.cold_multiple * rules.cold_from * self.cores * rules.cold_window
-        return spent + work <= total * COLD_SAFETY / self.settings.gateways
-
-    def bound(self) -> float:
-        return max(1.0, BOUND_THREADS * self.cores * self.share)
+        part = total * COLD_SAFETY / self.settings.gateways
+        if self.cold_spent > 0:
+            return self.cold_spent + work <= part
+        return work <= max(part, total * COLD_ONE) and work * self.lot <= part
 
     def pressed(self, now: float) -> bool:
         return max(self.slow, self.aged) > math.log(PRESSURE) or now < self.busy_until
@@ -175,7 +169,8 @@
     def has_room(self, now: float, always: bool) -> bool:
         if self.on_trial and self.failing <= SHUN_ABOVE:
             return not self.out  # just back: one query at a time until it has answered one
-        return self.threads < self.bound() or not (always or self.pressed(now))
+        bound = max(1.0, BOUND_THREADS * self.cores * self.share)
+        return self.threads < bound or not (always or self.pressed(now))
 
     def holds(self, tables: int) -> bool:
         """A load of ours has that group there: other loads and readers that wait would stand still."""
@@ -183,32 +178,30 @@
 
     def quarantined(self, now: float) -> bool:
         """The way back is by time alone: failures fade, so each gateway tries again now and then."""
-        self.failing *= 0.5 ** ((now - self.faded) / FAIL_HALF_LIFE_S)
+        self.failing *= 0.5 ** ((now - self.faded) / VIEW_HALF_LIFE_S)
         self.faded = now
         self.on_trial = self.on_trial or self.failing > SHUN_ABOVE
         return self.silent or self.failing > SHUN_ABOVE
 
     def follow_pressure(self, now: float, step: float) -> float:
         """The share of this engine that is ours: 1 / gateways until latency tells otherwise; cores gained."""
-        held, before = self.threads / (BOUND_THREADS * self.cores), self.share
-        if not self.pressed(now):
-            if held > self.share * (1 - SHARE_STEP):
-                self.share = min(1.0, max(self.share * (1 + step), held))
-        elif self.threads >= self.bound() * (1 - SHARE_STEP):
-            self.share = max(1.0 / (BOUND_THREADS * self.cores), self.share * (1 - step))
+        one, before = 1.0 / (BOUND_THREADS * self.cores), self.share
+        held, pressed = self.threads * one, self.pressed(now)
+        if not pressed and held > self.share * (1 - SHARE_STEP):
+            self.share = min(1.0, max(self.share * (1 + step), held))
+        elif pressed and held >= max(one, self.share) * (1 - SHARE_STEP):
+            self.share = max(min(1.0 / self.settings.gateways, one), self.share * (1 - step))
         return (self.share - before) * self.cores
 
     def watch_silence(self, now: float, note_period: float) -> None:
         """No sign for longer than some attempt should have taken: held against it until it gives one."""
-        self.silent = False
         waited = sum(now - query.sent for query in self.out.values())
         best = sum(query.expected for query in self.out.values())
         # What is out is out because it is long: the same crowd shows about twice as strong as in ended runs.
         self.aged = math.log(max(waited / best / 2, 1.0)) if best > 0 else 0.0
-        for query in self.out.values():
-            due = PATIENCE * query.expected * math.exp(max(0.0, self.slow)) + TRUST_S
-            due = 2 * note_period if note_period > 0 else due
-            self.silent = self.silent or now - max(query.sent, self.sign) > due
+        pace = PATIENCE * math.exp(max(0.0, self.slow))
+        dues = [(2 * note_period or pace * one.expected + TRUST_S, one) for one in self.out.values()]
+        self.silent = any(now - max(one.sent, self.sign) > due for due, one in dues)
 
 
 Views = list[EngineView]
@@ -217,17 +210,19 @@
 class Router:
     """Which engine a query goes to: hash order by table group, alike at all gateways."""
 
-    def __init__(self, settings: api.Settings, calibration: Calibration) -> None:
-        self.settings, self.calibration = settings, calibration
+    def __init__(self, settings: api.Settings, calibration: Calibration, random: Random) -> None:
+        self.settings, self.calibration, self.random = settings, calibration, random
         self.engines: dict[str, EngineView] = {}
         self.listed: dict[str, EngineView] = {}  # those not gone
         self.orders: dict[int, list[EngineView]] = {}
-        # Kept up with each change, so that no query, answer or tick sums over the fleet.
+        # Reports come late: where gateways are few, a gateway's own threads tell it more.
+        self.others = max(0.0, 1.0 - 2.0 / settings.gateways)
         self.active: dict[str, EngineView] = {}  # engines with attempts of ours out
         self.threads = 0  # ours, on all engines
         self.cores = 0.0  # of all engines that are up
+        self.crowd = 0.0  # what other gateways have on a core, by the reports that came
         self.own_cores = 0.0  # this gateway's share of those not gone
-        self.usual = 0.0  # the usual slowness of engines; a few that are far off hardly move it
+        self.paces, self.usual = list[float](), 0.0  # slowness of engines seen, in order, and its middle
 
     def order(self, tables: int) -> list[EngineView]:
         if tables not in self.orders:
@@ -244,12 +239,9 @@
             for view in self.engines.values():
                 view.entry = replace(view.entry, state=api.EngineState.GONE)
         for entry in news.entries:
-            view = self.engines.get(entry.engine) or EngineView(entry, self.settings, now)
-            self.engines[entry.engine] = view
+            view = self.engines.setdefault(entry.engine, EngineView(entry, self.settings, now, self.random))
             if entry.started > view.entry.started:
-                view.failing, view.slow, view.on_trial = 0.0, 0.0, False
-                recent = now - self.settings.rules.cold_window
-                view.cold_sent = [one for one in view.cold_sent if one[0] > recent]
+                view.failing, view.slow, view.on_trial, view.paced = (0.0, 0.0, False, -math.inf)
             view.entry = entry
         before, gone = self.listed, api.EngineState.GONE
         self.listed = {name: view for name, view in self.engines.items() if view.entry.state is not gone}
@@ -257,22 +249,31 @@
             self.orders.clear()
         self.cores = sum(one.cores for one in self.listed.values() if one.entry.state is api.EngineState.UP)
         self.own_cores = sum(view.cores * view.share for view in self.listed.values())
+        self.paces = sorted(view.slow for view in self.engines.values() if view.paced > -math.inf)
 
     def allowed(self, query: Query, engine: EngineView) -> bool:
         """Rules 2, 3 and 6: placement, drains, and the group that drops a keyed query's repeats."""
-        kind, entry = query.kind, engine.entry
-        if entry.state is not api.EngineState.UP:
-            return False
-        if kind.allowed_kinds is not None and entry.kind not in kind.allowed_kinds:
-            return False
-        if kind.allowed_zones is not None and entry.zone not in kind.allowed_zones:
-            return False
-        for _, ran in query.may_have_run if kind.effect is api.Effect.KEYED else ():
-            if kind.dedup_scope is api.DedupScope.ZONE and entry.zone != ran.zone:
-                return False
-            if kind.dedup_scope is api.DedupScope.CELL and entry.cell != ran.cell:
-                return False
-        return True
+        kind, entry, ran = (query.kind, engine.entry, [one for _, one in query.may_have_run])
+        kinds, zones, scope = kind.allowed_kinds, kind.allowed_zones, kind.dedup_scope
+        placed = (kinds is None or entry.kind in kinds) and (zones is None or entry.zone in zones)
+        if ran and kind.effect is api.Effect.KEYED and scope is not api.DedupScope.ALL:
+            zoned = scope is api.DedupScope.ZONE
+            placed &= all(entry.zone == one.zone if zoned else entry.cell == one.cell for one in ran)
+        return placed and entry.state is api.EngineState.UP
+
+    def learn_pace(self, query: Query, engine: EngineView, elapsed: float, now: float) -> None:
+        """By price: cheap queries run past the crowd and show little of it. By age: an old view gives way."""
+        if self.calibration.best[query.asked.query_class] == math.inf:
+            return
+        if engine.paced > -math.inf:
+            del self.paces[bisect_left(self.paces, engine.slow)]
+        ratio = min(3.0, query.price / max(self.calibration.mean_price.mean, 1e-9))
+        aged = 1.0 - 0.5 ** ((now - engine.paced) / VIEW_HALF_LIFE_S)
+        seen = math.log(max(elapsed, 1e-6) / max(query.expected, 1e-6))
+        engine.slow += (seen - engine.slow) * max(0.1 * ratio, min(1.0, ratio) * aged)
+        engine.paced = now
+        insort(self.paces, engine.slow)
+        self.usual = self.paces[len(self.paces) // 2]
 
     def weight(self, engine: EngineView, now: float) -> float:
         """Cores at the pace seen; only an engine well off the usual, or a cold one, counts less."""
@@ -284,17 +285,24 @@
         """The least loaded home; the order is walked on only while homes are full or busy."""
 
         def load(engine: EngineView) -> float:
-            return engine.threads / self.weight(engine, now)
+            fresh: float = 0.5 ** ((now - engine.reported) / REPORT_HALF_LIFE_S)
+            theirs = (self.crowd + (engine.crowd - self.crowd) * fresh) * engine.cores * self.others
+            weight = self.weight(engine, now)
+            return (engine.threads + theirs) / weight + one * (engine.cores / weight)
 
-        mean = self.threads / max(self.cores, 1e-9)
+        mean = self.threads / max(self.cores, 1e-9) + self.crowd * self.others
+        one = query.kind.threads * len(self.listed) / max(self.cores, 1e-9)  # this query, a core
         shunned, passed = Views(), Views()
         walk = self.walk(query, now, shunned, passed)
         homes = list(islice(walk, HOMES))
+        # Homes are alike at all gateways: quiet ones, for which all look idle, would pile on the first.
+        turn = self.settings.gateway % max(1, len(homes))
+        homes = homes[turn:] + homes[:turn]
         # Never shun so many that nothing is left: with every engine under suspicion all are used again.
         free = [one for one in homes or passed or shunned if one.has_room(now, needs_room)]
         best = min(free, key=load, default=None)
         # "Busier than the mean" by more than one query: below that a quiet gateway would lose its homes.
-        if best is None or load(best) - query.kind.threads / self.weight(best, now) > mean:
+        if best is None or load(best) - 2 * one > mean:
             further = [] if best is None else [best]
             for engine in walk:
                 if engine.has_room(now, needs_room):
@@ -339,12 +347,10 @@
 
     def leave(self, query: Query) -> Query | None:
         """For a query that is over and has no attempt out; answers with the one that is first now."""
-        line = self.lines.get(query.key)
-        if line is None:
-            return None
+        line = self.lines.get(query.key, deque([query]))
         line.remove(query)
         if not line:
-            del self.lines[query.key]
+            self.lines.pop(query.key, None)
         return line[0] if line else None
 
 
@@ -380,12 +386,9 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, Random(seed)
         self.calibration = Calibration(settings.classes)
-        self.router = Router(settings, self.calibration)
-        self.release = FairRelease()
-        self.order = KeyOrder()
-        self.retries = RetryBudget(settings.rules)
-        self.queries: dict[int, Query] = {}
-        self.accounts: dict[int, Account] = {}
+        self.router = Router(settings, self.calibration, self.random)
+        self.release, self.order, self.retries = FairRelease(), KeyOrder(), RetryBudget(settings.rules)
+        self.queries, self.accounts = dict[int, Query](), dict[int, Account]()
         self.waits: list[tuple[float, int, Query]] = []
         self.blocked: set[LineId] = set()  # lines no engine had room for since the last change
         self.actions: list[api.Action] = []
@@ -417,12 +420,15 @@
                     query.done = True
                     if query.engine is None:
                         self.over(query)
+                    elif self.settings.limits.cancel and not query.cancelled:
+                        # Work that nobody waits for is called off, where that is heeded.
+                        query.cancelled = True
+                        self.actions.append(api.Cancel(event.query, query.attempts - 1))
         if unwatched and not self.settings.list_is_pushed:
             self.actions.append(api.WatchList())
         self.pump()
         self.end_waits()
-        # The next tick by what is due: soon while queries wait, later while attempts are out, else none.
-        soon = self.waits or self.order.rests
+        soon = self.waits or self.order.rests  # timers by what is due: an idle gateway needs none
         due = now + (TICK_S if soon else WATCH_S if self.router.active else math.inf)
         if due < self.timer_at - TICK_S / 2:
             self.timer_at = due
@@ -467,10 +473,9 @@
             del self.router.active[engine.entry.engine]
             engine.silent, engine.aged = False, 0.0
         self.judge(query, engine, event)
-        doubtful = event.outcome in (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED)
-        if doubtful and query.key is not None:
+        if event.outcome in (api.Outcome.TIMEOUT, api.Outcome.RESET, api.Outcome.CANCELLED):
             self.order.rests[query.key] = self.now + self.settings.rules.order_settle
-        if doubtful or event.outcome is api.Outcome.ERROR:
+        if event.outcome not in (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT):
             query.may_have_run.append((query.sent, engine.entry))
         if event.settled or event.outcome is api.Outcome.OK or query.done:
             self.over(query)
@@ -480,22 +485,19 @@
             self.give_up(query)
 
     def judge(self, query: Query, engine: EngineView, event: api.AttemptEnded) -> None:
-        outcome = event.outcome
-        report = event.report or api.LoadReport()
-        if max(report.busy or 0.0, report.memory_granted or 0.0) > BUSY or outcome is api.Outcome.FULL:
-            engine.busy_until = self.now + BUSY_FRESH_S
+        outcome, report = event.outcome, event.report or api.LoadReport()
+        busy = max(report.busy or 0.0, report.memory_granted or 0.0) > BUSY or outcome is api.Outcome.FULL
+        if busy or event.report is not None:
+            engine.busy_until = self.now + (BUSY_FRESH_S if busy else 0.0)
+        if report.in_flight is not None:
+            engine.crowd, engine.reported = (report.in_flight - len(engine.out)) / engine.cores, self.now
+            self.router.crowd += (engine.crowd - self.router.crowd) / LEARN_RUNS
         if outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
             engine.sign = self.now
         if outcome is api.Outcome.OK:
             engine.failing, engine.on_trial = engine.failing * (1 - FAIL_WEIGHT), False
-            if self.calibration.best[query.asked.query_class] < math.inf:
-                # Weighted by price: cheap queries run past the crowd and show little of it.
-                weight = min(0.3, 0.1 * query.price / max(self.calibration.mean_price.mean, 1e-9))
-                seen = math.log(max(event.elapsed, 1e-6) / max(query.expected, 1e-6))
-                engine.slow += (seen - engine.slow) * weight
-            behind = engine.slow - self.router.usual
-            self.router.usual += max(-USUAL_STEP, min(USUAL_STEP, behind))
-            self.calibration.learn(query, event.elapsed, math.exp(behind))
+            self.router.learn_pace(query, engine, event.elapsed, self.now)
+            self.calibration.learn(query, event.elapsed, math.exp(engine.slow - self.router.usual))
         unheard = outcome is api.Outcome.TIMEOUT and engine.sign <= query.sent
         engine.mute = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET) or unheard
         if engine.mute:
@@ -606,8 +608,7 @@
         engine.out[query.asked.query] = query
         engine.threads += query.kind.threads
         self.router.threads += query.kind.threads
-        if engine.is_cold(self.now):
-            engine.cold_sent.append((self.now, max(query.cost, query.expected * query.kind.threads)))
+        engine.cold_spent += max(query.cost, query.expected * query.kind.threads)
         if self.settings.priorities_heeded or self.settings.grants_heeded:
             grant = GRANT * (query.asked.memory_mb or 0.0)
             self.actions.append(api.SetTerms(query.asked.query, grant, self.priority(query)))
@@ -622,7 +623,6 @@
     def tick(self) -> None:
         passed, self.ticked = self.now - max(self.ticked, 0.0), self.now
         step = min(0.5, SHARE_STEP * passed / TICK_S)
-        self.calibration.best = [best + BEST_DRIFT * passed for best in self.calibration.best]
         self.blocked.clear()
         for engine in list(self.router.active.values()):
             self.router.own_cores += engine.follow_pressure(self.now, step)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,6 +8,7 @@
 
 from micahold import interface as api
 from micahold.logic import EngineView
+from tests import build
 from tests.build import LOOKUP, REPORT, Gateway, finals, sends
 
 
@@ -94,3 +95,72 @@
     for tables in range(20):
         query, actions = gateway.ask(REPORT, cost=4.0, tables=tables)
         assert [one.query for one in sends(actions)] == [query]
+
+
+def test_quiet_gateways_do_not_pile_on_the_same_home() -> None:
+    """Homes are alike at all gateways, and at a quiet one each looks idle: all took the first."""
+    firsts = []
+    for number in range(30):
+        gateway = Gateway(number=9, gateway=number, gateways=60)
+        firsts.append(gateway.engine_of[gateway.ask(tables=5)[0]])
+    assert all(firsts.count(one) == 10 for one in set(firsts))
+    assert len(set(firsts)) == 3
+
+
+def test_an_engine_that_others_crowd_is_passed_over_by_its_report() -> None:
+    """A gateway among many sees little of an engine by its own queries; reports tell of the others'."""
+    gateway = Gateway(number=9, gateways=60)
+    query, _ = gateway.ask()
+    crowded = gateway.engine_of[query]
+    gateway.end(query, api.Outcome.OK, report=api.LoadReport(busy=0.9, in_flight=60))
+    assert gateway.engine_of[gateway.ask()[0]] != crowded
+
+
+def test_a_busy_report_is_believed_until_a_better_one() -> None:
+    """Where a gateway hears from an engine every few seconds, a belief of one second forgot the pressure."""
+    for later, most in ((None, 20), (api.LoadReport(busy=0.3), 60)):
+        gateway = Gateway(number=1)
+        first, second = gateway.ask()[0], gateway.ask()[0]
+        gateway.end(first, api.Outcome.OK, report=api.LoadReport(busy=1.0))
+        gateway.end(second, api.Outcome.OK, after=2.0, report=later)
+        assert (len(sends(gateway.tell(*(gateway.query() for _ in range(60))))) == 60) is (most == 60)
+
+
+@pytest.mark.parametrize("outcome", [api.Outcome.TIMEOUT, api.Outcome.OK])
+def test_work_that_its_client_has_left_is_called_off(outcome: api.Outcome) -> None:
+    """Clients left early and asked again; engines went on with both."""
+    gateway = Gateway()
+    query, _ = gateway.ask()
+    assert api.Cancel(query, 0) in gateway.tell(api.QueryDropped(query))
+    assert not finals(gateway.end(query, outcome))
+
+
+def cold_work(gateways: int, cost: float, seconds: float, per_second: float) -> list[tuple[float, float]]:
+    """When, and how much, all gateways of a fleet send to the one engine there is, which is cold."""
+    sent = []
+    for number in range(gateways):
+        gateway = Gateway(number=1, seed=number, gateway=number, gateways=gateways)
+        start = gateway.now
+        gateway.tell(api.ListUpdate(api.ListKind.CHANGES, 2, (build.entry(0, started=start),)))
+        for _ in range(int(seconds * per_second)):
+            actions = gateway.ask(cost=cost)[1] + gateway.tick(after=0.0)
+            while out := sends(actions):
+                sent += [(gateway.now - start, cost) for _ in out]
+                actions = gateway.tell(*(gateway.ended(one.query, api.Outcome.OK, cost) for one in out))
+            gateway.now += 1.0 / per_second
+    return sorted(sent)
+
+
+@pytest.mark.parametrize("cost", [0.05, 0.5, 0.85])
+def test_many_gateways_neither_starve_a_cold_engine_nor_push_it_over(cost: float) -> None:
+    """An even part was less than one query: cold engines got nothing until they were warm."""
+    rules = build.RULES
+    total = rules.cold_multiple * rules.cold_from * 16 * rules.cold_window
+    sent = cold_work(gateways=120, cost=cost, seconds=8.0, per_second=4.0)
+    windows = [sum(work for at, work in sent if start <= at < start + 1.0) for start in range(8)]
+    assert max(windows) < total
+    assert sum(windows) / len(windows) > total * 0.15
+
+
+def test_a_query_too_large_for_any_lot_is_not_sent_to_a_cold_engine() -> None:
+    assert not cold_work(gateways=40, cost=10.0, seconds=5.0, per_second=2.0)
