--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -28,8 +28,9 @@
 PRESSURE = 1.6  # latency above best, as a multiple, from which bounds bind
 BUSY, BUSY_FRESH_S = 0.95, 4.0  # busy share that is pressure, for so long or until a better report
 SHARE_STEP = 0.1  # step by which this gateway's share of an engine follows pressure
-SHUN_ABOVE = 0.25  # failing share above which an engine is quarantined
-FAIL_WEIGHT, CUT_WEIGHT = (0.2, 0.9)  # weight of one error, of one broken or refused connection
+SHUN_ABOVE, FAIL_WEIGHT, CUT_WEIGHT = 0.25, 0.2, 0.9  # failing that quarantines; by an error, a cut
+STRAINED, STRAIN_BOUND = 0.5, 0.5  # part without an answer that is strain; part of the bound kept then
+PAUSE_S, PAUSE_MOST_S = 0.25, 16.0  # half the first, and the longest pause from a full engine
 PATIENCE, TRUST_S = (4.0, 0.25)  # silence counts after this many times the expected time, and this beyond it
 REPORT_HALF_LIFE_S, VIEW_HALF_LIFE_S = 2.0, 5.0  # for a report; for pace and failures of an engine
 COLD_SAFETY, COLD_ONE = 1 / 3, 1 / 16  # parts of a cold engine's allowance: spent in all, by one lot
@@ -49,9 +50,8 @@
     weight: float = 0.0
 
     def learn(self, value: float, weight: float = 1.0) -> None:
-        keep = 1.0 - 1.0 / LEARN_RUNS
-        self.total = self.total * keep + value * weight
-        self.weight = self.weight * keep + weight
+        self.total += value * weight - self.total / LEARN_RUNS
+        self.weight += weight - self.weight / LEARN_RUNS
 
     @property
     def mean(self) -> float:
@@ -100,8 +100,7 @@
 
     def __init__(self, share: float) -> None:
         self.share = max(share, 1e-9)
-        self.rate = self.use = 0.0
-        self.level, self.at = math.inf, -math.inf
+        self.rate, self.use, self.level, self.at = 0.0, 0.0, math.inf, -math.inf
 
     def advance(self, now: float, rate: float) -> None:
         passed, self.at, self.rate = now - self.at, now, rate
@@ -134,15 +133,14 @@
         self.settings, self.entry = settings, entry
         self.out: dict[int, Query] = {}
         self.cores = next((kind.cores for kind in settings.kinds[entry.kind :]), 0.0) or 1.0
-        self.share, self.threads = 1.0 / settings.gateways, 0
+        self.share, self.threads, self.pause = 1.0 / settings.gateways, 0, PAUSE_S
         self.slow = 0.0  # ln of latency over best, by the runs that ended
         self.aged = 0.0  # the same by those still out, which only grows: a crowd that ends nothing shows here
         self.failing = self.crowd = 0.0  # crowd: queries of others a core
-        self.silent = False  # by the attempts that are out
+        self.silent = self.on_trial = False  # by attempts that are out; from quarantine until an answer
         self.mute = False  # by the last that ended: no answer, not even an error
-        self.on_trial = False  # from quarantine until an answer
         self.sign = self.faded = now
-        self.paced = self.reported = self.busy_until = -math.inf
+        self.paced = self.reported = self.busy_until = self.rest_until = -math.inf
         self.random, self.cold_phase = random, random.random() * settings.rules.cold_window
         self.cold_window = self.cold_spent = self.lot = 0.0
 
@@ -170,7 +168,7 @@
         if self.on_trial and self.failing <= SHUN_ABOVE:
             return not self.out  # just back: one query at a time until it has answered one
         bound = max(1.0, BOUND_THREADS * self.cores * self.share)
-        return self.threads < bound or not (always or self.pressed(now))
+        return now >= self.rest_until and (self.threads < bound or not (always or self.pressed(now)))
 
     def holds(self, tables: int) -> bool:
         """A load of ours has that group there: other loads and readers that wait would stand still."""
@@ -215,8 +213,8 @@
         self.engines: dict[str, EngineView] = {}
         self.listed: dict[str, EngineView] = {}  # those not gone
         self.orders: dict[int, list[EngineView]] = {}
-        # Reports come late: where gateways are few, a gateway's own threads tell it more.
-        self.others = max(0.0, 1.0 - 2.0 / settings.gateways)
+        self.others = max(0.0, 1.0 - 2.0 / settings.gateways)  # among few, own threads tell more than reports
+        self.strain = 0.0  # part of the attempts of late that no answer came to in time
         self.active: dict[str, EngineView] = {}  # engines with attempts of ours out
         self.threads = 0  # ours, on all engines
         self.cores = 0.0  # of all engines that are up
@@ -290,6 +288,10 @@
             weight = self.weight(engine, now)
             return (engine.threads + theirs) / weight + one * (engine.cores / weight)
 
+        # A jam feeds itself: with many gateways even one query from each on each engine is too much.
+        most = STRAIN_BOUND * BOUND_THREADS * self.cores / self.settings.gateways / max(self.others, 1e-9)
+        if self.strain > STRAINED and self.threads >= max(1.0, most):
+            return None
         mean = self.threads / max(self.cores, 1e-9) + self.crowd * self.others
         one = query.kind.threads * len(self.listed) / max(self.cores, 1e-9)  # this query, a core
         shunned, passed = Views(), Views()
@@ -364,8 +366,8 @@
     def hold(self, query: Query, late: bool) -> None:
         worth = query.kind.worth * (query.kind.late_share if late else 1.0)
         line_id = (late, query.asked.tenant, query.asked.query_class, query.attempts > 0)
-        entry = (-worth / max(query.price, 1e-9), next(self.serial), query)
-        heappush(self.lines.setdefault(line_id, []), entry)
+        line = self.lines.setdefault(line_id, [])
+        heappush(line, (-worth / max(query.price, 1e-9), next(self.serial), query))
 
     def head(self, line_id: LineId, now: float) -> Query | None:
         """The first of a line that still waits; one that can no longer be in time moves to the late line."""
@@ -381,8 +383,6 @@
 
 
 class Controller:
-    """One gateway's decisions."""
-
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, Random(seed)
         self.calibration = Calibration(settings.classes)
@@ -390,8 +390,7 @@
         self.release, self.order, self.retries = FairRelease(), KeyOrder(), RetryBudget(settings.rules)
         self.queries, self.accounts = dict[int, Query](), dict[int, Account]()
         self.waits: list[tuple[float, int, Query]] = []
-        self.blocked: set[LineId] = set()  # lines no engine had room for since the last change
-        self.actions: list[api.Action] = []
+        self.actions, self.blocked = list[api.Action](), set[LineId]()  # blocked: lines that found no room
         self.now, self.ticked, self.timer_at = 0.0, -1.0, math.inf
 
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
@@ -421,8 +420,7 @@
                     if query.engine is None:
                         self.over(query)
                     elif self.settings.limits.cancel and not query.cancelled:
-                        # Work that nobody waits for is called off, where that is heeded.
-                        query.cancelled = True
+                        query.cancelled = True  # nobody waits for this work any more
                         self.actions.append(api.Cancel(event.query, query.attempts - 1))
         if unwatched and not self.settings.list_is_pushed:
             self.actions.append(api.WatchList())
@@ -495,15 +493,19 @@
         if outcome in (api.Outcome.OK, api.Outcome.ERROR, api.Outcome.FULL):
             engine.sign = self.now
         if outcome is api.Outcome.OK:
-            engine.failing, engine.on_trial = engine.failing * (1 - FAIL_WEIGHT), False
+            engine.failing, engine.on_trial, engine.pause = engine.failing * (1 - FAIL_WEIGHT), False, PAUSE_S
             self.router.learn_pace(query, engine, event.elapsed, self.now)
             self.calibration.learn(query, event.elapsed, math.exp(engine.slow - self.router.usual))
         unheard = outcome is api.Outcome.TIMEOUT and engine.sign <= query.sent
+        if outcome is api.Outcome.OK or query.cancelled or (outcome is api.Outcome.TIMEOUT and not unheard):
+            self.router.strain += ((outcome is not api.Outcome.OK) - self.router.strain) * FAIL_WEIGHT / 2
         engine.mute = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET) or unheard
-        if engine.mute:
-            engine.failing += (1 - engine.failing) * CUT_WEIGHT
-        elif outcome is api.Outcome.ERROR:
-            engine.failing += (1 - engine.failing) * FAIL_WEIGHT
+        weight = CUT_WEIGHT if engine.mute else FAIL_WEIGHT if outcome is api.Outcome.ERROR else 0.0
+        engine.failing += (1 - engine.failing) * weight
+        if outcome is api.Outcome.FULL and self.now >= engine.rest_until:
+            # One query from each of many gateways keeps it full: left alone ever longer, until it answers.
+            engine.pause = min(PAUSE_MOST_S, 2 * engine.pause)
+            engine.rest_until = self.now + engine.pause * (0.5 + self.random.random())
 
     def noted(self, event: api.AttemptNote) -> None:
         query = self.queries.get(event.query)
@@ -533,11 +535,10 @@
 
     def may_try_again(self, query: Query, ran: bool = False) -> bool:
         """Rule 2, and whether there is time left for another attempt; ``ran`` if the one out may have run."""
-        kind = query.kind
-        if kind.effect is not api.Effect.SAFE and (ran or query.may_have_run):
+        if query.kind.effect is not api.Effect.SAFE and (ran or query.may_have_run):
             first = query.may_have_run[0][0] if query.may_have_run else query.sent
-            dropped_until = first + kind.dedup_window - 2 * TICK_S
-            if kind.effect is api.Effect.UNSAFE or self.now >= dropped_until:
+            dropped_until = first + query.kind.dedup_window - 2 * TICK_S
+            if query.kind.effect is api.Effect.UNSAFE or self.now >= dropped_until:
                 return False
         in_time = self.now + query.expected < query.asked.deadline
         return in_time and query.attempts < self.settings.limits.max_attempts
@@ -597,8 +598,7 @@
         if not query.charged:
             query.charged = True
             account = self.account(query)
-            account.level -= query.price
-            account.use += query.price
+            account.level, account.use = account.level - query.price, account.use + query.price
         query.engine, query.sent, query.cancelled = engine.entry.engine, self.now, False
         query.expected = self.calibration.expected(query)
         query.attempts += 1
@@ -615,7 +615,6 @@
         self.actions.append(api.Send(query.asked.query, engine.entry.engine, query.asked.deadline))
 
     def priority(self, query: Query) -> int:
-        """By worth for the price against the usual: what earns more for less goes before."""
         usual = self.calibration.mean_worth.mean / max(self.calibration.mean_price.mean, 1e-9)
         ratio = query.kind.worth / max(query.price, 1e-9) / max(usual, 1e-9)
         return 3 if ratio > 2 else 2 if ratio > 0.5 else 1 if ratio > 0.125 else 0
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -164,3 +166,40 @@
 
 def test_a_query_too_large_for_any_lot_is_not_sent_to_a_cold_engine() -> None:
     assert not cold_work(gateways=40, cost=10.0, seconds=5.0, per_second=2.0)
+
+
+def test_a_full_engine_is_left_alone_ever_longer_until_it_answers() -> None:
+    """Quiet gateways each tried a full engine again at once: most attempts were turned away as full."""
+    gateway = Gateway(number=1, limits=replace(build.LIMITS, max_attempts=100))
+    query, _ = gateway.ask(REPORT)
+    tries: list[float] = []
+    for _ in range(200):
+        if gateway.attempts[query] + 1 > len(tries):
+            tries.append(gateway.now)
+            gateway.end(query, api.Outcome.FULL, after=0.0)
+        gateway.tick()
+    gaps = [later - earlier for earlier, later in pairwise(tries)]
+    assert 2 <= len(tries) <= 8
+    assert gaps[-1] > 2 * gaps[0]
+
+
+def jam(outcome: api.Outcome, gateways: int) -> int:
+    """Attempts end as said on engines that still give signs; how many of a crowd are sent then."""
+    gateway = Gateway(number=10, gateways=gateways, limits=replace(build.LIMITS, max_attempts=1))
+    for at in range(40):
+        query, _ = gateway.ask(tables=at)
+        note = api.AttemptNote(query, 0, gateway.engine_of[query], api.NoteKind.SPILLING, 9.0)
+        gateway.tell(note, after=1.0)
+        gateway.end(query, outcome, after=3.0)
+        gateway.tick(after=12.0)
+    return len(sends(gateway.tell(*(gateway.query(tables=one) for one in range(60)))))
+
+
+def test_in_a_jam_a_gateway_among_many_keeps_to_part_of_its_even_bound() -> None:
+    """One query from each of many gateways on each engine kept a jam going for the rest of the day."""
+    assert jam(api.Outcome.TIMEOUT, gateways=60) <= 2
+    assert jam(api.Outcome.OK, gateways=60) > 10
+
+
+def test_a_jam_binds_no_gateway_among_few() -> None:
+    assert jam(api.Outcome.TIMEOUT, gateways=2) > 10
