--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -30,7 +30,7 @@
 SHARE_STEP = 0.1  # step by which this gateway's share of an engine follows pressure
 SHUN_ABOVE, FAIL_WEIGHT, CUT_WEIGHT = 0.25, 0.2, 0.9  # failing that quarantines; by an error, a cut
 STRAINED, STRAIN_BOUND = 0.5, 0.5  # part without an answer that is strain; part of the bound kept then
-PAUSE_S, PAUSE_MOST_S = 0.25, 16.0  # half the first, and the longest pause from a full engine
+PAUSE_S, PAUSE_MOST_S = 0.25, 2.0  # half the first, and the longest pause from a full engine
 PATIENCE, TRUST_S = (4.0, 0.25)  # silence counts after this many times the expected time, and this beyond it
 REPORT_HALF_LIFE_S, VIEW_HALF_LIFE_S = 2.0, 5.0  # for a report; for pace and failures of an engine
 COLD_SAFETY, COLD_ONE = 1 / 3, 1 / 16  # parts of a cold engine's allowance: spent in all, by one lot
@@ -213,7 +213,7 @@
         self.engines: dict[str, EngineView] = {}
         self.listed: dict[str, EngineView] = {}  # those not gone
         self.orders: dict[int, list[EngineView]] = {}
-        self.others = max(0.0, 1.0 - 2.0 / settings.gateways)  # among few, own threads tell more than reports
+        self.others = max(0.0, 1.0 - 4.0 / settings.gateways)  # among few, own threads tell more than reports
         self.strain = 0.0  # part of the attempts of late that no answer came to in time
         self.active: dict[str, EngineView] = {}  # engines with attempts of ours out
         self.threads = 0  # ours, on all engines
