--- a/micahold/__main__.py
+++ b/micahold/__main__.py
@@ -1,4 +1,7 @@
-"""Starts the front: configuration from ``NODE_CONFIG``, log on standard output, SIGTERM ends it."""
+"""Starts the front: configuration from ``NODE_CONFIG``, log on standard output.
+
+SIGTERM ends it, SIGHUP has it read the configuration again, SIGUSR1 prints its counters.
+"""
 
 from __future__ import annotations
 
@@ -38,6 +41,7 @@
 
 def main() -> int:
     """0 after SIGTERM, 1 where the address can't be had, 2 where the configuration can't be used."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be heeded: it must never end the program
     try:
         configuration = read_configuration()
     except FormatError as problem:
@@ -61,6 +65,7 @@
     def set_up() -> None:
         # After start, so that these stand in place of the reactor's own.
         signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(front.told_to_end))
+        signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(front.take_over, read_configuration))
         signal.signal(signal.SIGUSR1, lambda *_: loop.callFromThread(front.print_counters))
 
     loop.callWhenRunning(set_up)
--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -16,6 +16,7 @@
 from micahold.protocol.engine_list import ListNews, parse_news
 from micahold.protocol.errors import ProtocolError
 from micahold.routing.exchange import Exchange
+from micahold.settings import FormatError
 from micahold.transport.calls import EnginePools
 from micahold.transport.channel import CommandChannel
 from micahold.transport.clients import ClientSessions
@@ -127,14 +128,39 @@
         self.counters.most("loop_late_ms", round((now - due) * 1000))
         self.clock.callLater(LAG_S, self._measure_lag, now + LAG_S)
 
-    def _list_event(self, data: bytes) -> None:
+    def _list_event(self, data: bytes) -> bool:
+        """False where it can't be read."""
         settings = self.configuration.settings
         try:
             news: ListNews = parse_news(data, settings.zones, tuple(kind.name for kind in settings.kinds))
         except ProtocolError as problem:
+            self.counters.add("list_events_unreadable")
             self.log("list_event_unreadable", error=str(problem))
-            return
+            return False
         self.exchange.list_changed(news)
+        return True
+
+    # New configurations
+
+    def take_over(self, read: Callable[[], Configuration]) -> None:
+        """SIGHUP: the channel's address is taken over, all else holds until a restart.
+
+        Guards against an end on SIGHUP, and against a file that is missing, half written or unusable:
+        then everything stays as it is.
+        """
+        try:
+            new = read()
+        except FormatError as problem:
+            self.counters.add("reloads_refused")
+            self.log("reload_refused", error=str(problem))
+            return
+        old = self.configuration
+        names = ("name", "listen", "settings", "sockets")
+        on_restart = [name for name in names if getattr(new, name) != getattr(old, name)]
+        moved = new.channel != self.channel.address
+        self.counters.add("reloads_taken_over")
+        self.log("reload", channel_moved=moved, only_on_restart=on_restart)
+        self.channel.move(new.channel)
 
     # The end
 
--- a/micahold/transport/channel.py
+++ b/micahold/transport/channel.py
@@ -19,6 +19,7 @@
 CONNECT_S = 1.0
 PAUSE_S, LONGEST_PAUSE_S = 0.05, 0.4  # between connections that fail or end soon; else the next is at once
 LASTED_S = 0.5
+MOST_DIGITS = 18  # of an event's number
 
 
 class _Stream(Protocol):
@@ -68,7 +69,7 @@
             data = bytes(self._kept)
             self._kept.clear()
         for event in self._events.feed(data):
-            self.channel.heard(event)
+            self.channel.heard(self, event)
         if self._chunks is not None and self._chunks.whole:
             self.abort()
 
@@ -96,22 +97,27 @@
         clock: Any,
         address: tuple[str, int],
         cursor: int,
-        tell: Callable[[bytes], None],
+        tell: Callable[[bytes], bool],
         counters: Counters,
         log: Callable[..., None],
     ) -> None:
         self.clock, self.address, self.cursor = clock, address, cursor
         self.tell, self.counters, self.log = tell, counters, log
-        self.host = b"%s:%d" % (address[0].encode(), address[1])
         self._pause = 0.0
         self._stopped = False
         self._stream: _Stream | None = None
+        self._connector: Any = None
         self._next: Any = None
+        self._spoilt = -1  # number of the event that could not be read the last time
+
+    @property
+    def host(self) -> bytes:
+        return b"%s:%d" % (self.address[0].encode(), self.address[1])
 
     def start(self) -> None:
         self._next = None
         self.counters.add("channel_connects")
-        self.clock.connectTCP(*self.address, self, timeout=CONNECT_S)
+        self._connector = self.clock.connectTCP(*self.address, self, timeout=CONNECT_S)
 
     def stop(self) -> None:
         self._stopped = True
@@ -120,22 +126,51 @@
         if self._stream is not None:
             self._stream.abort()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """A new address: at once, on from the cursor; what the old connection still says is not heard.
+
+        Guards against drains learned late: the old address may stay open and tell nothing more.
+        """
+        if address == self.address or self._stopped:
+            return
+        self.address, self._pause = address, 0.0
+        self.counters.add("channel_moves")
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.abort()
+        elif self._next is not None:
+            self._next.cancel()
+        else:
+            self._connector.stopConnecting()  # and with it the wait for the old address
+            return
+        self.start()
+
     def buildProtocol(self, addr: IAddress | None) -> _Stream:
         self._stream = _Stream(self)
         return self._stream
 
-    def heard(self, event: ServerEvent) -> None:
-        """Repeated and older events are passed over; the number moves on before the event is looked at."""
-        if not event.id.isdigit() or int(event.id) <= self.cursor:
+    def heard(self, stream: _Stream, event: ServerEvent) -> None:
+        """Repeated and older events are passed over, and the number only moves forward.
+
+        An event that can't be read is asked for once more: it may have been spoilt on its way.
+        """
+        if stream is not self._stream or not event.id.isdigit() or len(event.id) > MOST_DIGITS:
+            return
+        number = int(event.id)
+        if number <= self.cursor:
             return
-        self.cursor = int(event.id)
+        if not self.tell(event.data) and number != self._spoilt:
+            self._spoilt = number
+            raise ProtocolError(f"event {number}")
+        self.cursor = number
         self.counters.add("channel_events")
-        self.tell(event.data)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         self._again()
 
     def ended(self, stream: _Stream) -> None:
+        if stream is not self._stream:
+            return  # left behind by a move
         self._stream = None
         if self.clock.seconds() - stream.since >= LASTED_S:
             self._pause = 0.0
