Bad clients and spoilt answers: silent sessions end, spoilt answers are asked for again

Checked with a log of what failed: 'fast' errors were multi-statements and ids that no engine knows, 'slow' ones spoilt answers.

Changed: a GET asks for the news or the page again on a new connection while the engine keeps the query, a POST never; every call ends after 0.6 s; a second copy can't pass for the next call's answer (calls._rested); sessions have an end of each wait and make room; bytes kept for all sessions are bounded by the memory limit; more than one statement, packets out of order and figures out of range are refused; engines that have gone are forgotten in directory, exchange and module. Module: an error counts against an engine only if the query had not failed before, and three runs in vain end a query.

--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -15,10 +15,8 @@
 from micahold import interface as api
 from micahold.records import Query
 
-LEARN_RUNS = 50  # runs over which a mean of ln(seconds / cost) is taken
-FACTOR_LIMIT = 100.0  # a factor stays between 1 / this and this
-BURST_S = 2.0  # a bucket holds at most this many seconds of its rate
-USE_HALF_LIFE_S = 10.0  # use fades by half in this time
+LEARN_RUNS, FACTOR_LIMIT = 50, 100.0  # runs in a mean of ln(seconds / cost); factors stay within 1 / this
+BURST_S, USE_HALF_LIFE_S = 2.0, 10.0  # a bucket holds this many seconds of its rate; a use fades by half
 HINT_JITTER = 0.5  # a retry hint grows by up to this share of itself
 BOUND_THREADS = 1.5  # threads a core at which an engine with one gateway alone is full
 HOMES = 3  # engines of a table group's hash order that are tried first
@@ -35,6 +33,7 @@
 TICK_S, WATCH_S = 0.05, 0.1  # pace of the checks while queries wait, while attempts are out
 PLACES = 0.75  # part of the queries a gateway can have open that is there for classes which earn nothing
 RUNAWAY = 3.0  # an attempt projected to last this many times the expected is begun anew, where allowed
+MOST_RUNS = 3  # attempts that may have run and brought nothing: then it is the query, not the engines
 
 
 LineId = tuple[bool, int, int, bool]  # late, tenant, class, tried before
@@ -230,7 +229,7 @@
         return self.orders[tables]
 
     def update(self, now: float, news: api.ListUpdate) -> None:
-        """A view is kept for good, and with it what a cold engine was sent; a restart clears its record."""
+        """Ids are ever new: a view outlasts its engine until what it knows has faded; a restart clears it."""
         if news.kind in (api.ListKind.FULL, api.ListKind.RESTORED):
             for view in self.engines.values():
                 view.entry = replace(view.entry, state=api.EngineState.GONE)
@@ -243,6 +242,8 @@
         self.listed = {name: view for name, view in self.engines.items() if view.entry.state is not gone}
         if before.keys() != self.listed.keys():
             self.orders.clear()
+        kept = {n: v for n, v in self.engines.items() if v.out or now < v.faded + 10 * VIEW_HALF_LIFE_S}
+        self.engines = self.listed | kept
         self.cores = sum(one.cores for one in self.listed.values() if one.entry.state is api.EngineState.UP)
         self.own_cores = sum(view.cores * view.share for view in self.listed.values())
         self.paces = sorted(view.slow for view in self.engines.values() if view.paced > -math.inf)
@@ -363,12 +364,13 @@
         worth = query.kind.worth * (query.kind.late_share if late else 1.0)
         line_id = (late, query.asked.tenant, query.asked.query_class, query.attempts > 0)
         line = self.lines.setdefault(line_id, [])
+        if len(line) % 64 == 63:  # those given up meanwhile may lie too deep ever to be met
+            line[:] = sorted(one for one in line if one[2].waiting())
         heappush(line, (-worth / max(query.price, 1e-9), next(self.serial), query))
 
     def head(self, line_id: LineId, now: float) -> Query | None:
         """The first of a line that still waits; one that can no longer be in time moves to the late line."""
-        line = self.lines[line_id]
-        while line:
+        while line := self.lines[line_id]:
             query = line[0][2]
             if query.waiting() and (line_id[0] or now + query.expected <= query.aim):
                 return query
@@ -393,8 +395,7 @@
     def handle(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         """Take the events of one moment, in turn, and answer with the actions of that moment."""
         self.now, self.actions = now, []
-        unwatched = self.ticked < 0
-        if unwatched:
+        if unwatched := self.ticked < 0:
             self.tick()
         for event in events:
             match event:
@@ -499,7 +500,8 @@
         if outcome is api.Outcome.OK or query.cancelled or (outcome is api.Outcome.TIMEOUT and not unheard):
             self.router.strain += ((outcome is not api.Outcome.OK) - self.router.strain) * FAIL_WEIGHT / 2
         engine.mute = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET) or unheard
-        weight = CUT_WEIGHT if engine.mute else FAIL_WEIGHT if outcome is api.Outcome.ERROR else 0.0
+        error = outcome is api.Outcome.ERROR and not query.may_have_run  # what fails everywhere is the query
+        weight = CUT_WEIGHT if engine.mute else FAIL_WEIGHT if error else 0.0
         engine.failing += (1 - engine.failing) * weight
         if outcome is api.Outcome.FULL and self.now >= engine.rest_until:
             # One query from each of many gateways keeps it full: left alone ever longer, until it answers.
@@ -530,8 +532,7 @@
         for places in (self.places[query.asked.query_class], self.all_places):
             places.change(self.now, -1, worth)
         self.queries.pop(query.asked.query, None)
-        following = self.order.leave(query)
-        if following is not None and following.waiting():
+        if (following := self.order.leave(query)) is not None and following.waiting():
             self.hold(following)
 
     def may_try_again(self, query: Query, ran: bool = False) -> bool:
@@ -541,8 +542,8 @@
             dropped_until = first + query.kind.dedup_window - 2 * TICK_S
             if query.kind.effect is api.Effect.UNSAFE or self.now >= dropped_until:
                 return False
-        in_time = self.now + query.expected < query.asked.deadline
-        return in_time and query.attempts < self.settings.limits.max_attempts
+        able = len(query.may_have_run) < MOST_RUNS and query.attempts < self.settings.limits.max_attempts
+        return able and self.now + query.expected < query.asked.deadline
 
     def give_up(self, query: Query) -> None:
         """The final answer, at once: refused where the client may safely try again, else failed."""
@@ -601,8 +602,7 @@
             account = self.account(query)
             account.level, account.use = account.level - query.price, account.use + query.price
         query.engine, query.sent, query.cancelled = engine.entry.engine, self.now, False
-        query.expected = self.calibration.expected(query)
-        query.attempts += 1
+        query.attempts, query.expected = query.attempts + 1, self.calibration.expected(query)
         query.tried.add(engine.entry.engine)
         engine.sign = engine.sign if engine.out else self.now
         self.router.active[engine.entry.engine] = engine
--- a/micahold/program/configuration.py
+++ b/micahold/program/configuration.py
@@ -12,7 +12,8 @@
 from micahold.protocol.engine_list import ListNews, decode_news, parse_address
 from micahold.settings import FormatError, decode_settings
 
-DEFAULT_SOCKETS = 1024
+DEFAULT_SOCKETS, DEFAULT_MEMORY_MB = 1024, 192.0
+CLIENT_BYTES = 1 / 16  # part of the memory that may hold what clients have sent and is not worked off yet
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,6 +28,11 @@
     known: tuple[ListNews, ...]
     cursor: int
     sockets: int
+    memory_mb: float = DEFAULT_MEMORY_MB
+
+    @property
+    def most_client_bytes(self) -> int:
+        return int(self.memory_mb * CLIENT_BYTES * 2**20)
 
     @property
     def most_engine_connections(self) -> int:
@@ -50,7 +56,8 @@
         raise FormatError("configuration is not an object")
     try:
         settings = decode_settings(item["settings"])
-        sockets = int((item.get("limits") or {}).get("sockets") or DEFAULT_SOCKETS)
+        limits = item.get("limits") or {}
+        sockets = int(limits.get("sockets") or DEFAULT_SOCKETS)
         # Clients hold a third of the descriptors at most and send one query at a time on a connection.
         places = min(settings.limits.max_open or sockets, sockets // 3)
         settings = replace(settings, limits=replace(settings.limits, max_open=places))
@@ -66,6 +73,7 @@
             known=news,
             cursor=int(known.get("cursor") or 0),
             sockets=sockets,
+            memory_mb=float(limits.get("memory_mb") or DEFAULT_MEMORY_MB),
         )
     except KeyError as error:
         raise FormatError(f"configuration without {error}") from None
--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -95,6 +95,7 @@
             configuration.seed,
             configuration.most_client_connections,
             clock.unread_for,
+            configuration.most_client_bytes,
         )
         self.channel = CommandChannel(
             clock, configuration.channel, configuration.cursor, self._list_event, counters, log
@@ -155,7 +156,7 @@
             self.log("reload_refused", error=str(problem))
             return
         old = self.configuration
-        names = ("name", "listen", "settings", "sockets")
+        names = ("name", "listen", "settings", "sockets", "memory_mb")
         on_restart = [name for name in names if getattr(new, name) != getattr(old, name)]
         moved = new.channel != self.channel.address
         self.counters.add("reloads_taken_over")
--- a/micahold/protocol/http_messages.py
+++ b/micahold/protocol/http_messages.py
@@ -8,8 +8,11 @@
 
 MOST_HEAD = 16 * 1024
 MOST_BODY = 64 * 1024
+MOST_INTERIM = 16  # interim answers ahead of one answer
 LONGEST_LINE = 1024  # of a chunk size or a trailer
+START = b"HTTP/1."
 NO_BODY = (204, 304)
+SINGLE = (b"content-length", b"transfer-encoding")  # two that differ leave open where the answer ends
 
 
 @dataclass(slots=True)
@@ -47,7 +50,10 @@
         name, sign, value = line.partition(b":")
         if not sign or not name.strip():
             raise ProtocolError("a header line that can't be read")
-        headers[name.strip().lower()] = value.strip()
+        name, value = name.strip().lower(), value.strip()
+        if name in SINGLE and headers.get(name, value) != value:
+            raise ProtocolError("a header that contradicts itself")
+        headers[name] = value
     word = headers.get(b"connection", b"").lower()
     return int(rest[:3]), headers, word != b"close" and (version == b"HTTP/1.1" or word == b"keep-alive")
 
@@ -111,7 +117,11 @@
 
 
 class AnswerReader:
-    """Answers on one connection, one at a time: nothing may come that was not asked for."""
+    """Answers on one connection, one at a time.
+
+    A whole answer counts whatever comes behind it, but its connection is then of no further use. A good
+    answer tells its size: one that only the end of the connection ends may have been cut off.
+    """
 
     def __init__(self, most_body: int = MOST_BODY) -> None:
         self._most_body = most_body
@@ -120,6 +130,7 @@
         self._size: int | None = None
         self._chunks: ChunkReader | None = None
         self._body = bytearray()
+        self._interim = 0
 
     def feed(self, data: bytes) -> Answer | None:
         """The answer once it is whole."""
@@ -132,15 +143,22 @@
             end = self._kept.find(b"\r\n\r\n")
             if end > MOST_HEAD or (end < 0 and len(self._kept) > MOST_HEAD):
                 raise ProtocolError("a head that is too long")
+            if not START.startswith(bytes(self._kept[: len(START)])):
+                raise ProtocolError("not an HTTP answer")  # at once: noise may never have the end of a head
             if end < 0:
                 return None
             head = parse_head(bytes(self._kept[:end]))
             del self._kept[: end + 4]
             if head[0] < 200:
-                continue  # an interim answer; the real one follows
+                self._interim += 1
+                if self._interim > MOST_INTERIM:
+                    raise ProtocolError("interim answers without end")
+                continue  # the real one follows
             self._head = head
             self._chunks = ChunkReader() if is_chunked(head[1]) else None
             self._size = None if self._chunks else body_size(head[0], head[1])
+            if self._size is None and self._chunks is None and head[0] == 200:
+                raise ProtocolError("a body of no told size")
             if self._size is not None and self._size > self._most_body:
                 raise ProtocolError("a body that is too long")
         if self._chunks is not None:
@@ -178,12 +196,9 @@
 
     def _finish(self) -> Answer:
         assert self._head is not None
-        if self._kept:
-            raise ProtocolError("more than was asked for")
         status, headers, keeps_open = self._head
-        answer = Answer(status, headers, bytes(self._body), keeps_open and self._size is not None)
-        if self._chunks is not None:
-            answer = Answer(status, headers, bytes(self._body), keeps_open)
-        self._head, self._size, self._chunks = None, None, None
+        told = self._size is not None or self._chunks is not None
+        answer = Answer(status, headers, bytes(self._body), keeps_open and told and not self._kept)
+        self._head, self._size, self._chunks, self._interim = None, None, None, 0
         self._body = bytearray()
         return answer
--- a/micahold/protocol/mysql_packets.py
+++ b/micahold/protocol/mysql_packets.py
@@ -41,6 +41,10 @@
         if len(self._kept) > self.most_kept:
             raise ProtocolError("more sent ahead than is kept")
 
+    def clear(self) -> None:
+        """Nothing of this stream is wanted any more."""
+        self._kept.clear()
+
     @property
     def kept(self) -> int:
         """Bytes that came and were not handed out yet."""
--- a/micahold/protocol/mysql_results.py
+++ b/micahold/protocol/mysql_results.py
@@ -12,7 +12,7 @@
 COLUMNS = (b"c1", b"c2", b"c3")
 VAR_STRING = 0xFD
 WIDEST_CELL = 65535
-MOST_BYTES = 1024 * 1024  # of one result; what is larger can't be read
+MOST_BYTES = 64 * 1024  # of one result, which holds 48,000 at most; results are kept until they are whole
 
 
 def _column(name: bytes) -> bytes:
--- a/micahold/protocol/query_fields.py
+++ b/micahold/protocol/query_fields.py
@@ -4,14 +4,16 @@
 
 import re
 from dataclasses import dataclass
+from math import inf
 
 from micahold.protocol.errors import ProtocolError
-from micahold.protocol.table_group import table_group
+from micahold.protocol.table_group import has_second_statement, table_group
 
 ID = re.compile(rb"[0-9a-f]{16}")
 WORD = re.compile(rb"[!-~]{1,200}")
 NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
 KILL = re.compile(rb"\s*KILL\s+QUERY\s+([0-9]{1,20})\s*;?\s*", re.IGNORECASE)
+MOST_COST_MS, MOST_MB = 1e8, 1e8  # a day of one core, a hundred TB: no estimate is beyond that
 WRITES = (b"INSERT", b"UPDATE", b"DELETE", b"REPLACE", b"LOAD", b"MERGE", b"CREATE", b"TRUNCATE")
 
 
@@ -47,13 +49,16 @@
     return fields
 
 
-def _number(fields: dict[bytes, bytes], name: bytes) -> float | None:
+def _number(fields: dict[bytes, bytes], name: bytes, most: float = inf) -> float | None:
     value = fields.get(name)
     if value is None:
         return None
     if not NUMBER.fullmatch(value):
         raise ProtocolError(f"field {name.decode()} is not a number")
-    return float(value)
+    figure = float(value)
+    if figure > most:
+        raise ProtocolError(f"field {name.decode()} is out of range")
+    return figure
 
 
 def _word(fields: dict[bytes, bytes], name: bytes) -> bytes | None:
@@ -79,7 +84,9 @@
         raise ProtocolError("field class or wait is missing")
     if not statement.strip():
         raise ProtocolError("no statement")
-    cost = _number(fields, b"cost")
+    if has_second_statement(statement):
+        raise ProtocolError("more than one statement")  # not offered in the greeting
+    cost = _number(fields, b"cost", MOST_COST_MS)
     return ClientQuery(
         id=number,
         class_name=class_name,
@@ -87,7 +94,7 @@
         tenant=_word(fields, b"tenant"),
         token=_word(fields, b"once"),
         cost=None if cost is None else cost / 1000,
-        memory_mb=_number(fields, b"mb"),
+        memory_mb=_number(fields, b"mb", MOST_MB),
         statement=statement,
         tables=table_group(statement),
         is_write=statement.lstrip()[:8].upper().startswith(WRITES),
--- a/micahold/protocol/table_group.py
+++ b/micahold/protocol/table_group.py
@@ -1,4 +1,4 @@
-"""The group of tables that a statement reads or writes, from the name of the schema."""
+"""What is read out of a statement: its group of tables, from a schema's name, and whether it is one alone."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 TOKEN = re.compile(
     rb"""'(?:[^'\\]|\\.|'')*(?:'|\Z) | "(?:[^"\\]|\\.|"")*(?:"|\Z)
     | /\*.*?(?:\*/|\Z) | \#[^\n]* | --(?=[\s]|\Z)[^\n]*
-    | (?P<quoted>`(?:[^`]|``)*`) | (?P<word>[A-Za-z0-9_$\x80-\xff]+) | (?P<sign>[.,()])""",
+    | (?P<quoted>`(?:[^`]|``)*`) | (?P<word>[A-Za-z0-9_$\x80-\xff]+) | (?P<sign>[.,()]) | (?P<other>[^\s])""",
     re.VERBOSE | re.DOTALL,
 )
 GROUP = re.compile(rb"_([0-9]{1,9})\Z")
@@ -56,7 +56,7 @@
     dotted = False
     for token in TOKEN.finditer(statement):
         kind = token.lastgroup
-        if kind is None:
+        if kind is None or kind == "other":
             continue
         text = token[0]
         if kind == "sign" and text == b"." and names:
@@ -96,3 +96,16 @@
         elif text == b"," and in_list[-1]:
             expects[-1] = True
     return NO_GROUP
+
+
+def has_second_statement(statement: bytes) -> bool:
+    """Whether anything but blanks, comments and further semicolons follows a semicolon."""
+    if b";" not in statement:
+        return False
+    ended = False
+    for token in TOKEN.finditer(statement):
+        if token.lastgroup == "other" and token[0] == b";":
+            ended = True
+        elif ended and not token[0].startswith((b"/*", b"#", b"--")):
+            return True
+    return False
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -31,6 +31,9 @@
     def handle(self, now: float, events: list[api.Event]) -> list[api.Action]: ...
 
 
+MOST_WAITS = 2.0  # a wait of so many deadlines of its class is no usable figure
+
+
 @dataclass(slots=True, eq=False)
 class OpenQuery:
     """A query from its arrival until it is answered and nothing of it is out."""
@@ -99,6 +102,8 @@
             raise Unusable("unknown tenant")
         if query.id in self._ids:
             raise Unusable("this id is open already")
+        if query.wait > MOST_WAITS * self.settings.classes[query_class].deadline:
+            raise Unusable("field wait is out of range")
         if left <= 0:
             raise Unusable("past its wait on arrival")
         if self.settings.classes[query_class].effect is api.Effect.KEYED and query.token is None:
@@ -144,7 +149,11 @@
             self.pools.close_idle(engine)  # it is gone, or listens elsewhere now
         if news.update.kind is not api.ListKind.CHANGES:
             self._entries.clear()
-        self._entries.update((entry.engine, entry) for entry in news.update.entries)
+        for entry in news.update.entries:
+            if entry.state is api.EngineState.GONE:
+                self._entries.pop(entry.engine, None)  # ids are ever new: what has gone must not be kept
+            else:
+                self._entries[entry.engine] = entry
         self.counters.add("list_updates")
         self._happened(news.update)
 
@@ -302,7 +311,6 @@
     def _close(self, number: int, item: OpenQuery, kind: str) -> None:
         item.answered = True
         self.unanswered -= 1
-        self._ids.discard(item.asked.id)
         if item.overdue is not None and item.overdue.active():
             item.overdue.cancel()
         now = self.now()
@@ -318,8 +326,9 @@
         self._forget(number, item)
 
     def _forget(self, number: int, item: OpenQuery) -> None:
-        if item.answered and item.out == 0:
-            self.queries.pop(number, None)
+        """The id is taken as long as an attempt with it may be out: engines tell queries apart by it."""
+        if item.answered and item.out == 0 and self.queries.pop(number, None) is not None:
+            self._ids.discard(item.asked.id)
 
     def give_up_all(self, text: str) -> None:
         """End every open query at once, as failed, which promises nothing of what may have run."""
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -21,6 +21,7 @@
 ASKED_WITHIN_S = 2.0  # an engine forgets a query that has not been asked for in this time
 ASK_PACE_S = 0.05  # news are asked for no faster than this, should an engine answer 202 at once
 MOST_PAGES = 64
+MOST_SPOILT = 8  # answers of one attempt that can't be read and are asked for again
 UNTOUCHED = b"srv-untouched"
 ALL_PAGES, ONE_PAGE, LOAD = b"x-sheets", b"x-sheet", b"srv-load"
 
@@ -74,6 +75,8 @@
         self._tail = b""  # of a request without headers of its own
         self._asked = 0.0  # when the engine was last asked for this query
         self._heard = 0.0  # when it last answered
+        self._is_known = False  # an answer has shown that the engine has this query
+        self._spoilt = 0  # answers that could not be read
         self._repeated = False  # the call out is a GET repeated after its connection broke
         self._later: Any = None
         self._expiry: Any = None
@@ -117,13 +120,16 @@
         request = b"GET %s/%d%s" % (self._path, number, self._tail)
         self._repeated = fresh
         due = self._asked + ASKED_WITHIN_S
-        self._call = self.pools.call(self.order.engine, request, due, self._note_asked, fresh)
+        # A page tells its number: a second copy of an earlier answer can't pass for it.
+        self._call = self.pools.call(
+            self.order.engine, request, due, self._note_asked, fresh, tells_itself=number > 0
+        )
         heard = self._page if number else self._news
         self._call.result.addCallbacks(heard, self._get_failed, errbackArgs=(number,))
 
     def _news(self, answer: Answer) -> None:
         now = self.now()
-        self._heard = now
+        was_known, self._is_known, self._heard = self._is_known, True, now
         untouched = answer.headers.get(UNTOUCHED) == b"1"
         if answer.status == 202:
             pause = self._asked + ASK_PACE_S - now
@@ -134,7 +140,7 @@
         elif answer.status == 200:
             self._first, count = answer, answer.headers.get(ALL_PAGES, b"")
             if not count.isdigit() or len(count) > 3 or int(count) > MOST_PAGES:
-                self._unreadable(f"number of pages {count!r}")
+                self._unreadable(0)
                 return
             self._pages = int(count)
             self._take_page(answer)
@@ -142,16 +148,18 @@
             self._end(Outcome.FULL, answer)
         elif answer.status == 504:
             self._end(Outcome.MOOT if untouched else Outcome.TIMEOUT, answer)
+        elif not was_known and self._repeated:
+            # The POST was never answered and the engine does not know the query yet: it must not later.
+            self.give_up(Outcome.ERROR)
         else:
             self._end(Outcome.ERROR, answer)
 
     def _page(self, answer: Answer) -> None:
         self._heard = self.now()
-        number = answer.headers.get(ONE_PAGE)
         if answer.status != 200:
             self._end(Outcome.ERROR, answer)
-        elif number is not None and number != b"%d" % self._taken:
-            self._unreadable(f"page {number!r} for {self._taken}")
+        elif answer.headers.get(ONE_PAGE) != b"%d" % self._taken:
+            self._unreadable(self._taken)
         else:
             self._take_page(answer)
 
@@ -159,8 +167,8 @@
         """The result is read whole before any of it goes on: an engine that dies midway is an outcome."""
         try:
             self._rows.add_page(answer.body)
-        except ProtocolError as problem:
-            self._unreadable(str(problem))
+        except ProtocolError:
+            self._unreadable(self._taken)
             return
         self._taken += 1
         if self._taken < self._pages:
@@ -168,42 +176,51 @@
         else:
             self._end(Outcome.OK, self._first)
 
-    def _unreadable(self, why: str) -> None:
+    def _unreadable(self, number: int) -> None:
+        """An answer that is HTTP and yet can't be used."""
         self.counters.add("engine_answers_unreadable")
-        self._end(Outcome.ERROR)
+        self._ask_again(number, spoilt=True)
 
     # Calls that brought no answer
 
     def _post_failed(self, failure: Failure) -> None:
+        """It has perhaps run, and a POST is never repeated; but its news can be asked for.
+
+        Guards against good results thrown away because the first answer came spoilt, cut off or never.
+        """
         if failure.check(NotSent):
             self._end(Outcome.MOOT)
         elif failure.check(ConnectFailed):
             self._end(Outcome.CONNECT_FAILED)
-        elif failure.check(Unreadable):
-            self.counters.add("engine_answers_unreadable")
-            self.give_up(Outcome.ERROR)
-        elif failure.check(ConnectionBroken):
-            # It may run on although its connection is gone: it must be over before another may start.
-            self.give_up(Outcome.RESET)
+        elif failure.check(Unreadable, ConnectionBroken):
+            self._ask_again(0, spoilt=failure.check(Unreadable) is not None)
         else:
             self._end(Outcome.RESET)
             failure.raiseException()
 
     def _get_failed(self, failure: Failure, number: int) -> None:
-        """Only a GET may be asked again, and a refusal or the engine's own limit ends that."""
-        if failure.check(Unreadable):
-            self._unreadable("")
-            return
-        if not failure.check(ConnectionBroken, ConnectFailed):
+        refused = failure.check(ConnectFailed) and getattr(failure.value, "refused", False)
+        if refused or not failure.check(ConnectionBroken, ConnectFailed, Unreadable):
             self._end(Outcome.RESET)
+        else:
+            self._ask_again(number, spoilt=failure.check(Unreadable) is not None)
+
+    def _ask_again(self, number: int, spoilt: bool) -> None:
+        """Only with a GET, on a new connection, until the engine forgets the query or spoils without end."""
+        if self.over or self._given_up is not None:
             return
-        refused = failure.check(ConnectFailed) and getattr(failure.value, "refused", False)
-        if refused or self.now() > self._heard + ASKED_WITHIN_S:
+        now = self.now()
+        if spoilt:
+            self._heard = now
+            self._spoilt += 1
+        if self._spoilt > MOST_SPOILT:
+            self.give_up(Outcome.ERROR)
+        elif now > self._heard + ASKED_WITHIN_S:
             self._end(Outcome.RESET)
         else:
-            self._later = self.pools.clock.callLater(
-                ASK_PACE_S if self._repeated else 0.0, self._get, number, True
-            )
+            self.counters.add("engine_news_asked_again")
+            pause = ASK_PACE_S if self._repeated else 0.0
+            self._later = self.pools.clock.callLater(pause, self._get, number, True)
 
     # Giving up
 
@@ -272,5 +289,7 @@
             return
         self.over = True
         self._stop(self._expiry)
+        if self._repeated and outcome is Outcome.OK:
+            self.counters.add("attempts_saved")  # by asking again
         load = answer.headers.get(LOAD) if answer is not None else None
         self.done.callback(End(outcome, self._rows.answer() if outcome is Outcome.OK else None, load))
--- a/micahold/transport/calls.py
+++ b/micahold/transport/calls.py
@@ -18,9 +18,12 @@
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.http_messages import Answer, AnswerReader
 from micahold.transport.directory import EngineDirectory
+from micahold.transport.timers import Timer, Timers
 
 SWEEP_S = 1.0  # how often idle connections are looked through
-LINGER_S = 1.0  # how long a connection may wait for an answer that nobody wants any more
+ANSWER_S = 0.6  # an engine has news within 250 ms: a call unanswered for so long is lost with its connection
+GRACE_S = 0.05  # more, for what has come but was not read yet by a late loop
+REST_S = 0.003  # between an answer and the next call on its connection: a second copy of it shows by then
 
 
 class CallFailed(Exception):
@@ -53,7 +56,8 @@
     def __init__(self, engine: str, request: bytes, due: float, wanted: Callable[[], bool] | None) -> None:
         self.engine, self.request, self.due, self.wanted = engine, request, due, wanted
         self.result: Deferred[Answer] = Deferred()
-        self.written = self.ended = self.fresh = False
+        self.written = self.ended = False
+        self.fresh = self.tells_itself = False
         self.connection: EngineConnection | None = None
 
     def answered(self, answer: Answer) -> None:
@@ -69,31 +73,46 @@
     def abandon(self, break_off: bool = False) -> None:
         """Nobody wants the answer any more; ``break_off`` also stops bytes that are still on their way."""
         self.ended, self.wanted = True, None
-        if self.connection is not None:
-            self.connection.abandoned(break_off)
+        if break_off and self.connection is not None:
+            self.connection.break_off()
 
 
 class EngineConnection(Protocol):
     """One connection, one call at a time."""
 
     def __init__(self, pools: EnginePools, engine: str, first: Call) -> None:
-        self.pools, self.engine, self.first = pools, engine, first
+        self.pools, self.engine = pools, engine
+        self.first: Call | None = first
         self.call: Call | None = None
         self.idle_since = 0.0
         self.closing = False
         self._reader = AnswerReader()
-        self._linger: Any = None
+        self._limit: Timer | None = None
 
     def connectionMade(self) -> None:
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
-        self.pools.connected(self)
+        first, self.first = self.first, None
+        if first is not None:
+            self.pools.connected(self, first)
 
     def send(self, call: Call) -> None:
         transport: Any = self.transport
         self.call, call.connection, call.written = call, self, True
         call.wanted = None  # it leads back to who made the call: no cycle is left behind
         transport.write(call.request)
+        self._limit = self.pools.timers.after(ANSWER_S, self._late, False)
+
+    def _late(self, again: bool) -> None:
+        """Guards against answers that stop short or never come: every call has an end."""
+        if not again:
+            self._limit = self.pools.timers.after(GRACE_S, self._late, True)
+            return
+        call = self.call
+        self.pools.counters.add("engine_calls_unanswered")
+        self.break_off()
+        if call is not None:
+            call.failed(ConnectionBroken("no answer in time"))
 
     def dataReceived(self, data: bytes) -> None:
         call = self.call
@@ -103,8 +122,8 @@
         try:
             answer = self._reader.feed(data)
         except ProtocolError as problem:
-            self.call = None
-            self.drop()
+            self.break_off()
+            self.pools.counters.add("engine_answers_unreadable")
             call.failed(Unreadable(str(problem)))
             return
         if answer is not None:
@@ -112,7 +131,7 @@
 
     def _finish(self, call: Call, answer: Answer) -> None:
         self.call = call.connection = None
-        self._stop_lingering()
+        self._stop_limit()
         if answer.keeps_open:
             self.pools.free(self)
         else:
@@ -121,29 +140,29 @@
         if self.pools.line:
             self.pools.pump()
 
-    def abandoned(self, break_off: bool) -> None:
-        if break_off:
-            self.call = None
-            self.drop()
-        elif self._linger is None:
-            self._linger = self.pools.clock.callLater(LINGER_S, self.abandoned, True)
+    def break_off(self) -> None:
+        """End the call out and the connection with it."""
+        call, self.call = self.call, None
+        if call is not None:
+            call.connection = None
+        self.drop()
 
     def drop(self) -> None:
         """Close for good; a reset, so that nothing unsent lingers."""
-        self._stop_lingering()
+        self._stop_limit()
         if not self.closing:
             self.closing = True
             self.pools.lost(self)
             if self.transport is not None:
                 self.transport.abortConnection()
 
-    def _stop_lingering(self) -> None:
-        if self._linger is not None and self._linger.active():
-            self._linger.cancel()
-        self._linger = None
+    def _stop_limit(self) -> None:
+        if self._limit is not None:
+            self._limit.cancel()
+            self._limit = None
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        self._stop_lingering()
+        self._stop_limit()
         call, self.call = self.call, None
         if not self.closing:
             self.closing = True
@@ -170,8 +189,17 @@
         return EngineConnection(self.pools, self.call.engine, self.call)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self._let_go(connector)
         self.pools.connect_failed(self.call, reason.check(error.ConnectionRefusedError) is not None)
 
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        self._let_go(connector)
+
+    def _let_go(self, connector: Any) -> None:
+        """Twisted's connector and its transport hold each other, and would wait for a collection."""
+        if connector is not None:
+            connector.transport = None
+
 
 class EnginePools:
     """Connections to all engines: at most ``most`` in all, and calls wait in line by what is due first."""
@@ -185,7 +213,7 @@
         connect_timeout: float,
         idle_close: float,
     ) -> None:
-        self.clock, self.directory, self.counters = clock, directory, counters
+        self.clock, self.directory, self.counters, self.timers = clock, directory, counters, Timers(clock)
         self.most, self.connect_timeout = most, connect_timeout
         # Half the engines' own limit: a call must not cross the close of the connection it is written to.
         self.idle_limit = idle_close / 2
@@ -202,10 +230,14 @@
         due: float,
         wanted: Callable[[], bool] | None = None,
         fresh: bool = False,
+        tells_itself: bool = False,
     ) -> Call:
-        """Line a call up; ``fresh`` asks for a new connection, ``wanted`` is asked before the first byte."""
+        """Line a call up; ``wanted`` is asked before the first byte.
+
+        ``fresh`` asks for a new connection; ``tells_itself``: no other answer could pass for its own.
+        """
         call = Call(engine, request, due, wanted)
-        call.fresh = fresh
+        call.fresh, call.tells_itself = fresh, tells_itself
         if self.line or not self._place(call):
             heappush(self.line, (due, next(self._serial), call))
             self.counters.most("calls_in_line", len(self.line))
@@ -221,9 +253,9 @@
 
     def _place(self, call: Call) -> bool:
         """False while there is no connection for it."""
-        idle = self._idle.get(call.engine)
-        if idle and not call.fresh:
-            self._start(idle.pop(), call)
+        rested = None if call.fresh else self._rested(call.engine, 0.0 if call.tells_itself else REST_S)
+        if rested is not None:
+            self._start(rested, call)
             return True
         address = self.directory.address(call.engine)
         if address is None:
@@ -237,6 +269,19 @@
         self.clock.connectTCP(*address, _Connecting(self, call), timeout=self.connect_timeout)
         return True
 
+    def _rested(self, engine: str, rest: float) -> EngineConnection | None:
+        """The idle connection used last that has rested for so long.
+
+        Guards against a second copy of an answer that would pass for the answer to the next call.
+        """
+        idle, before = self._idle.get(engine, ()), self.clock.seconds() - rest
+        for at in range(len(idle) - 1, -1, -1):
+            connection = idle[at]
+            if connection.idle_since <= before:
+                del self._idle[engine][at]
+                return connection
+        return None
+
     def _start(self, connection: EngineConnection, call: Call) -> None:
         if call.ended:
             self.free(connection)
@@ -251,8 +296,8 @@
         """Told in a turn of its own: the caller must have its call before the end of it."""
         self.clock.callLater(0, call.failed, NotSent(why))
 
-    def connected(self, connection: EngineConnection) -> None:
-        self._start(connection, connection.first)
+    def connected(self, connection: EngineConnection, call: Call) -> None:
+        self._start(connection, call)
         self.pump()
 
     def connect_failed(self, call: Call, refused: bool) -> None:
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -1,9 +1,14 @@
-"""Sessions of clients: the MySQL protocol on one connection, one query at a time."""
+"""Sessions of clients: the MySQL protocol on one connection, one query at a time.
+
+Every wait for a client has an end: ``due`` is when a session must have moved on. What clients have sent and
+is not worked off yet is bounded for each session and for all of them together.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from hashlib import blake2b
+from math import inf
 from typing import Any
 from typing import Protocol as Interface
 
@@ -20,12 +25,21 @@
 
 USER, DATABASE = b"app", b"dw"
 COM_QUIT, COM_INIT_DB, COM_QUERY, COM_PING = 0x01, 0x02, 0x03, 0x0E
-LARGEST_PACKET = 256 * 1024
+LARGEST_PACKET = 64 * 1024
 MOST_AHEAD = LARGEST_PACKET + 64 * 1024  # what a client may send while its query is open
 
+SWEEP_S = 0.25  # how often sessions are looked through for what is due
+FIRST_QUERY_S = 2.0  # from the connection to the first whole command: clients write login and query at once
+PACKET_S = 2.0  # from the first byte of a packet to its last
+IDLE_S = 5.0  # without a query: clients close idle connections after 4 s, and who does not must make room
+LAST_BYTES_S = 1.0  # for what was sent last to be read, when closing
+NEW_S = 0.02  # a connection younger than this is not closed to make room for another
+MOST_UNUSABLE = 3  # queries of one session that can't be used
+
 TOO_MANY_CONNECTIONS, BAD_HANDSHAKE, NO_SUCH_DATABASE, ACCESS_DENIED = 1040, 1043, 1049, 1045
 UNKNOWN_COMMAND, SHUTDOWN, SYNTAX, NO_SUCH_THREAD = 1047, 1053, 1064, 1094
 FAILED, TOO_LARGE, LIMIT_REACHED, INTERRUPTED = 1105, 1153, 1226, 1317
+OUT_OF_ORDER, READ_TIMEOUT = 1156, 1159
 
 
 class Unusable(Exception):
@@ -65,7 +79,10 @@
         self.sessions, self.connection_id = sessions, connection_id
         self.ticket: int | None = None
         self._reader = PacketReader(LARGEST_PACKET, MOST_AHEAD)
-        self._logged_in = self._choked = self._ended = False
+        self._logged_in = self._choked = self._ended = self._is_used = False
+        self.made_at = float(sessions.clock.seconds())
+        self.due, self.idle_since = self.made_at + FIRST_QUERY_S, self.made_at
+        self._unusable = self._counted = 0
         self._sequence = 0  # of the next packet that is sent
         self._is_new = True  # nothing has been read yet
         self._came_at = 0.0  # the earliest that what was read last can have come
@@ -94,19 +111,69 @@
             self._work()
         except ProtocolError as problem:
             self.sessions.counters.add("client_packets_bad")
-            self._sequence = self._sequence or 1
-            if self.ticket is None:
-                self._send(error_payload(TOO_LARGE, str(problem)))
-            self._close()
+            self._end_with(TOO_LARGE, str(problem))
         except Exception as problem:  # ends this session alone
             self.sessions.log("session_error", error=repr(problem), connection=self.connection_id)
             self._close()
+        if not self._count_kept():
+            # Guards against many clients that each send a little less than one may.
+            self.sessions.counters.add("client_memory_short")
+            self._end_with(TOO_LARGE, "no memory for this")
+        self._note_due()
+
+    def _count_kept(self) -> bool:
+        """False where all sessions together keep more than they may, and this one adds to it."""
+        if self._ended:
+            self._reader.clear()
+        self.sessions.kept += self._reader.kept - self._counted
+        self._counted = self._reader.kept
+        return not self._counted or self.sessions.kept <= self.sessions.most_kept
+
+    def _note_due(self) -> None:
+        """When this session must have moved on; a packet that comes byte by byte wins no time by that."""
+        if self._ended:
+            return
+        now = float(self.sessions.clock.seconds())
+        if self.ticket is not None:
+            self.due = inf
+        elif self._reader.kept and not self._choked:
+            self.due = min(self.due, now + PACKET_S)
+        elif self._is_used:
+            self.due, self.idle_since = now + IDLE_S, now
+
+    def overdue(self) -> None:
+        """Guards against clients that say nothing, stop within a packet, stay for good or do not read."""
+        if self._ended:
+            self.abort()
+        elif self._is_used and not self._reader.kept:
+            self.sessions.counters.add("client_sessions_idle")
+            self._close()
+        else:
+            self.sessions.counters.add("client_sessions_silent")
+            self._end_with(READ_TIMEOUT, "Got timeout reading communication packets")
+
+    def gives_way(self, now: float) -> bool:
+        """May be closed to make room: nothing is open on it, and it has had its time to ask."""
+        return self.ticket is None and not self._ended and now >= self.idle_since + NEW_S
+
+    @property
+    def is_used(self) -> bool:
+        return self._is_used
+
+    def _end_with(self, code: int, text: str) -> None:
+        if self._ended:
+            return
+        if self.ticket is None:
+            self._sequence = self._sequence or 1
+            self._send(error_payload(code, text))
+        self._close()
 
     def _earliest(self) -> float:
         return float(self.sessions.clock.seconds()) - self.sessions.unread_for()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._ended = True
+        self._count_kept()
         self.sessions.leave(self)
         self._drop_query()
 
@@ -130,7 +197,9 @@
     def _close(self) -> None:
         """After what was sent has gone out."""
         self._ended = True
+        self._count_kept()
         self._drop_query()
+        self.due = float(self.sessions.clock.seconds()) + LAST_BYTES_S
         transport: Any = self.transport
         transport.unregisterProducer()
         transport.loseConnection()
@@ -151,8 +220,13 @@
             if packet is None:
                 return
             sequence, payload = packet
+            if sequence != (0 if self._logged_in else 1):
+                self.sessions.counters.add("client_packets_bad")
+                self._end_with(OUT_OF_ORDER, "Got packets out of order")
+                return
             self._sequence = sequence + 1
             if self._logged_in:
+                self._is_used = True
                 self._command(payload)
             else:
                 self._log_in(payload)
@@ -201,11 +275,18 @@
             waited = float(self.sessions.clock.seconds()) - self._came_at
             self.ticket = self.sessions.taker.take(parse_query(text), self, waited)
         except ProtocolError as problem:
-            self.sessions.counters.add("queries_unusable")
-            self._send(error_payload(SYNTAX, str(problem)))
+            self._unusable_query(SYNTAX, str(problem))
         except Unusable as problem:
-            self.sessions.counters.add("queries_unusable")
-            self._send(error_payload(FAILED, str(problem)))
+            self._unusable_query(FAILED, str(problem))
+
+    def _unusable_query(self, code: int, why: str) -> None:
+        """An error at once; a session that goes on like that ends, since each costs as much as a good one."""
+        self.sessions.counters.add("queries_unusable")
+        self.sessions.counters.add("unusable_" + why.replace(" ", "_"))
+        self._unusable += 1
+        self._send(error_payload(code, why))
+        if self._unusable >= MOST_UNUSABLE:
+            self._close()
 
     def killed(self) -> bool:
         """KILL QUERY named this session; False where no query is open."""
@@ -240,6 +321,7 @@
         if not self._ended:
             transport: Any = self.transport
             transport.write(data)
+            self._note_due()
             if self._reader.kept:
                 # What came meanwhile is read in a turn of its own, after this answer's batch.
                 self.sessions.clock.callLater(0, self.dataReceived, b"")
@@ -259,14 +341,26 @@
         seed: int,
         most: int,
         unread_for: Callable[[], float] = lambda: 0.0,
+        most_kept: int = 4 * 1024 * 1024,
     ) -> None:
         self.unread_for = unread_for
+        self.kept, self.most_kept = 0, most_kept  # bytes of all sessions that are not worked off yet
+        self._sweep: Any = None
         self.clock, self.taker, self.counters, self.log, self.most = clock, taker, counters, log, most
         self._salt = seed.to_bytes(8, "little", signed=False)
         # A KILL QUERY with an id of an earlier start must hit nobody: starts lie far apart.
         self._last_id = int.from_bytes(blake2b(self._salt, digest_size=4).digest(), "little")
         self._sessions: dict[int, ClientSession] = {}
 
+    def startFactory(self) -> None:
+        self._sweep = self.clock.callLater(SWEEP_S, self._end_overdue)
+
+    def _end_overdue(self) -> None:
+        now = self.clock.seconds()
+        for session in [one for one in self._sessions.values() if one.due <= now]:
+            session.overdue()
+        self._sweep = self.clock.callLater(SWEEP_S, self._end_overdue)
+
     def buildProtocol(self, addr: IAddress | None) -> ClientSession:
         self._last_id = self._last_id % 0xFFFFFFFF + 1
         return ClientSession(self, self._last_id)
@@ -278,13 +372,28 @@
 
     def admit(self, session: ClientSession) -> bool:
         self.counters.add("client_connections")
-        if len(self._sessions) >= self.most:
+        if len(self._sessions) >= self.most and not self._make_room():
             self.counters.add("client_connections_turned_away")
             return False
         self._sessions[session.connection_id] = session
         self.counters.most("client_connections_open", len(self._sessions))
         return True
 
+    def _make_room(self) -> bool:
+        """Close the session that has been without a query the longest, those that never had one first.
+
+        Guards against clients that hold connections and ask nothing, so that others find no place.
+        """
+        now = self.clock.seconds()
+        able = (one for one in self._sessions.values() if one.gives_way(now))
+        first = min(able, key=lambda one: (one.is_used, one.idle_since), default=None)
+        if first is None:
+            return False
+        self.counters.add("client_sessions_gave_way")
+        first.close_if_idle()
+        self.leave(first)
+        return True
+
     def leave(self, session: ClientSession) -> None:
         self._sessions.pop(session.connection_id, None)
 
--- a/micahold/transport/directory.py
+++ b/micahold/transport/directory.py
@@ -7,7 +7,7 @@
 
 
 class EngineDirectory:
-    """Addresses and states; an engine that has gone keeps its line, for attempts still out there."""
+    """Addresses and states of the engines that have not gone; ids are ever new, so no other is kept."""
 
     def __init__(self) -> None:
         self._addresses: dict[str, tuple[str, int]] = {}
@@ -15,19 +15,22 @@
 
     def update(self, news: ListNews) -> list[str]:
         """Takes one event of the list; answers with the engines that are gone by it or have moved."""
-        listed = {engine: self.address(engine) for engine in self._states}
+        listed = dict(self._addresses)
         if news.update.kind in (ListKind.FULL, ListKind.RESTORED):
-            self._states = dict.fromkeys(self._states, EngineState.GONE)
+            self._states.clear()
         for entry in news.update.entries:
             self._states[entry.engine] = entry.state
         self._addresses.update(news.addresses)
-        return [engine for engine, before in listed.items() if before and before != self.address(engine)]
+        self._states = {one: state for one, state in self._states.items() if state is not EngineState.GONE}
+        self._addresses = {one: place for one, place in self._addresses.items() if one in self._states}
+        return [engine for engine, before in listed.items() if before != self._addresses.get(engine)]
 
     def takes_work(self, engine: str) -> bool:
         return self._states.get(engine) is EngineState.UP and engine in self._addresses
 
     def address(self, engine: str) -> tuple[str, int] | None:
         """None once it has gone: another engine may listen there by now."""
-        if self._states.get(engine, EngineState.GONE) is EngineState.GONE:
-            return None
         return self._addresses.get(engine)
+
+    def __len__(self) -> int:
+        return len(self._states)
