At a planned restart the module refuses what will not be served before the exit

Front.told_to_end now tells the exchange, which draws deadlines in and tells the module (Closing); what the module gives up it refuses where that is harmless. Attempts whose POST broke and whose engine does not know the query are told as cancelled, not as errors: resets hit any engine's connections and are held against none.

--- a/micahold/interface.py
+++ b/micahold/interface.py
@@ -289,6 +289,13 @@
     timer: int
 
 
+@dataclass(slots=True)
+class Closing:
+    """This gateway ends: what it has and what comes has to be answered by then."""
+
+    by: float
+
+
 @dataclass(slots=True)
 class ProbeEnded:
     """The outcome of a probe."""
@@ -315,6 +322,7 @@
     | AttemptEnded
     | QueryDropped
     | TimerFired
+    | Closing
     | ProbeEnded
     | PeerMessage
 )
--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -142,13 +142,12 @@
         self.out: dict[int, Query] = {}
         self.cores = next((kind.cores for kind in settings.kinds[entry.kind :]), 0.0) or 1.0
         self.share, self.threads, self.pause = 1.0 / settings.gateways, 0, PAUSE_S
-        self.aged = 0.0  # the same by those still out, which only grows: a crowd that ends nothing shows here
-        self.slow = self.failing = self.crowd = 0.0  # ln of latency over best; others' queries a core
+        self.slow = self.aged = 0.0  # ln of latency over best, by ended runs; by those out, which only grows
+        self.failing = self.crowd = self.cold_window = self.cold_spent = self.lot = 0.0
         self.silent = self.on_trial = self.mute = False  # by those out; till it answers; by the last end
         self.sign = self.faded = now
         self.paced = self.reported = self.busy_until = self.rest_until = -math.inf
         self.random, self.cold_phase = random, random.random() * settings.rules.cold_window
-        self.cold_window = self.cold_spent = self.lot = 0.0
 
     def is_cold(self, now: float) -> bool:
         return self.entry.started > 0 and now < self.entry.started + self.settings.rules.cold_time
@@ -240,8 +239,7 @@
             view.entry = entry
         before, gone = self.listed, api.EngineState.GONE
         self.listed = {name: view for name, view in self.engines.items() if view.entry.state is not gone}
-        if before.keys() != self.listed.keys():
-            self.orders.clear()
+        self.orders = self.orders if before.keys() == self.listed.keys() else {}
         kept = {n: v for n, v in self.engines.items() if v.out or now < v.faded + 10 * VIEW_HALF_LIFE_S}
         self.engines = self.listed | kept
         self.cores = sum(one.cores for one in self.listed.values() if one.entry.state is api.EngineState.UP)
@@ -412,6 +410,10 @@
                     self.router.update(now, event)
                     self.blocked.clear()
                     unwatched = unwatched or event.kind is api.ListKind.UNAVAILABLE
+                case api.Closing():
+                    for query in list(self.queries.values()):
+                        query.asked.deadline = min(query.asked.deadline, event.by)
+                        self.hold(query) if query.waiting() else None
                 case api.QueryDropped() if event.query in self.queries:
                     query = self.queries[event.query]
                     query.done = True
@@ -549,9 +551,8 @@
         """The final answer, at once: refused where the client may safely try again, else failed."""
         kind, limits, account = query.kind, self.settings.limits, self.account(query)
         dropped_by_all = kind.effect is api.Effect.KEYED and kind.dedup_scope is api.DedupScope.ALL
-        # When the tenant's debt will be paid, plus jitter so that the refused do not come back as one.
         wait = max(-account.level / max(account.rate, 1e-9), self.calibration.usual[query.asked.query_class])
-        wait *= 1 + HINT_JITTER * self.random.random()
+        wait *= 1 + HINT_JITTER * self.random.random()  # when the debt is paid; the refused come back apart
         hint = min(limits.max_retry_after, wait) if limits.retry_hints else 0.0
         harmless = kind.effect is api.Effect.SAFE or dropped_by_all or not query.may_have_run
         self.actions.append(api.Refuse(query.asked.query, hint) if harmless else api.Fail(query.asked.query))
@@ -637,6 +638,5 @@
     def end_waits(self) -> None:
         """After each release: a query may arrive with less time left than one tick."""
         while self.waits and (self.waits[0][0] <= self.now or not self.waits[0][2].waiting()):
-            query = heappop(self.waits)[2]
-            if query.waiting():
+            if (query := heappop(self.waits)[2]).waiting():
                 self.give_up(query)
--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -27,7 +27,8 @@
 # SIGKILL comes no sooner than the longest deadline, 3 s at most of it counted, and 0.7 s.
 NOTICE_S = 0.7
 LONGEST_COUNTED_S = 3.0
-BEFORE_KILL_S = 0.7  # all is answered and the program gone this long before
+BEFORE_KILL_S = 0.25  # all is answered and the program gone this long before
+DECIDED_S = 0.1  # before what is still open is failed, the decisions end it
 FLUSH_S = 0.3  # for last answers to go out
 LOG_PAUSE_S = 0.05
 LAG_S = 0.1  # how often the loop's lateness is measured
@@ -102,7 +103,7 @@
         )
         self.collector = Collector(clock, lambda: self.exchange.unanswered == 0, counters.add)
         self._port: Any = None
-        self._told_at = 0.0
+        self._give_up_at = 0.0
 
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
@@ -170,15 +171,16 @@
         if self.phase is not Phase.SERVING:
             return
         self._enter(Phase.NOTICE)
-        self._told_at = self.clock.seconds()
+        longest = max((one.deadline for one in self.configuration.settings.classes), default=0.0)
+        kill_after = min(longest, LONGEST_COUNTED_S) + NOTICE_S
+        left = max(NOTICE_S, kill_after - BEFORE_KILL_S - FLUSH_S)
+        self._give_up_at = self.clock.seconds() + left
+        self.exchange.close_within(left - DECIDED_S)
         self.clock.callLater(NOTICE_S, self._drain)
 
     def _drain(self) -> None:
         self._enter(Phase.DRAINING)
         self._port.stopListening()
-        longest = max((one.deadline for one in self.configuration.settings.classes), default=0.0)
-        kill_after = min(longest, LONGEST_COUNTED_S) + NOTICE_S
-        self._give_up_at = max(self.clock.seconds(), self._told_at + kill_after - BEFORE_KILL_S - FLUSH_S)
         self._await_answers()
 
     def _await_answers(self) -> None:
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any, Protocol
 
 from twisted.python.failure import Failure
@@ -75,6 +76,7 @@
         self.unanswered = 0
         self._decider = decider
         self._controller: Decider = decider(settings, seed)
+        self._by = inf  # all has to be answered by then
         self._generation = 0  # of the controller: timers of an earlier one are void
         self._ids: set[bytes] = set()
         self._last = 0
@@ -111,7 +113,7 @@
         self._last += 1
         number = self._last
         # The decisions are told the deadline that the front can keep, with its own lateness taken off.
-        item = OpenQuery(query, reply, now - waited, now + left - self.late_by())
+        item = OpenQuery(query, reply, now - waited, min(self._by, now + left - self.late_by()))
         self.queries[number] = item
         self._ids.add(query.id)
         self.unanswered += 1
@@ -134,6 +136,19 @@
         )
         return number
 
+    def close_within(self, seconds: float) -> None:
+        """The program ends: the decisions are told by when, so that they can refuse what will not be served.
+
+        Guards against queries that stand open until the exit fails them, too late to ask elsewhere.
+        """
+        self._by = self.now() + seconds
+        for item in self.queries.values():
+            if not item.answered and item.deadline > self._by:
+                item.deadline = self._by
+                for attempt in item.attempts:
+                    attempt.expire_by(self._by)
+        self._happened(api.Closing(self._by))
+
     def drop(self, ticket: int) -> None:
         """The client is gone."""
         item = self.queries.get(ticket)
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -156,8 +156,9 @@
         elif answer.status == 504:
             self._end(Outcome.MOOT if untouched else Outcome.TIMEOUT, answer)
         elif not was_known and self._repeated:
-            # The POST was never answered and the engine does not know the query yet: it must not later.
-            self.give_up(Outcome.ERROR)
+            # The POST was never answered and the engine does not know the query yet: it must not later. That
+            # is no sign that the engine is unwell: it answers, and resets hit connections to any.
+            self.give_up(Outcome.CANCELLED)
         else:
             self._end(Outcome.ERROR, answer)
 
@@ -240,6 +241,15 @@
 
     # Giving up
 
+    def expire_by(self, by: float) -> None:
+        """Its query has to be answered by then, which is earlier than it was."""
+        order = self.order
+        if self.over or self._given_up is not None or by >= order.expires:
+            return
+        order.expires, order.deadline = by, min(by, order.deadline)
+        self._stop(self._expiry)
+        self._expiry = self.timers.after(max(0.0, by - self.now()), self.give_up, Outcome.TIMEOUT)
+
     def give_up(self, outcome: Outcome) -> None:
         """Cancelled, timed out or cut off: with DELETE, and told as ended once it can't be out any more."""
         if self.over or self._given_up is not None:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -394,3 +394,27 @@
     assert set(world.exchange._entries) == {"a", "b"}
     assert not world.pools._idle and not world.pools._up and not world.pools.line
     assert world.pools.open == 0
+
+
+def test_when_the_program_ends_deadlines_are_drawn_in_and_the_decisions_told() -> None:
+    world = World()
+    ticket, client = world.ask(1, wait="9000")
+    world.want(api.Send(ticket, "a"))
+    world.links[0].up()
+    world.exchange.close_within(1.0)
+    world.turn()
+    by = world.clock.seconds() + 1.0
+    closing = world.last()
+    assert isinstance(closing, api.Closing) and closing.by == by
+    late, _ = world.ask(2, wait="9000")
+    arrived = world.last()
+    assert isinstance(arrived, api.QueryArrived) and arrived.query == late and arrived.deadline == by
+    world.turn(0.99)
+    assert not [
+        one for batch in world.decisions.batches for one in batch if isinstance(one, api.AttemptEnded)
+    ]
+    world.turn(0.02)
+    world.turn()
+    ended = world.last()
+    assert isinstance(ended, api.AttemptEnded) and ended.outcome is api.Outcome.TIMEOUT
+    assert not ended.settled and not client.answers  # the answer is the decisions'
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -230,3 +230,21 @@
         gateway.ask(cost=1.0 if number % 2 else 0.01, deadline=gateway.now + 0.3)
         gateway.tick(after=0.01)
     assert sum(map(len, gateway.controller.release.lines.values())) < 300
+
+
+def test_a_gateway_that_closes_refuses_what_it_cannot_end_by_then_and_takes_what_it_can() -> None:
+    """At a planned restart what stood open was failed by the exit, too late for clients to ask elsewhere."""
+    gateway = Gateway(number=1)
+    running, _ = gateway.ask(REPORT)
+    gateway.tell(api.ListUpdate(api.ListKind.FULL, 2, (build.entry(0, state=api.EngineState.DRAINING),)))
+    held, _ = gateway.ask(REPORT)
+    by = gateway.now + 3.0
+    answers = finals(gateway.tell(api.Closing(by)))
+    while gateway.now < by - 0.1:
+        answers += finals(gateway.tick())
+    assert [(type(one), one.query) for one in answers] == [(api.Refuse, held)]
+    answers = finals(gateway.end(running, api.Outcome.TIMEOUT, after=0.1))
+    assert [(type(one), one.query) for one in answers] == [(api.Refuse, running)]
+    gateway.tell(build.engines(1))
+    late, _ = gateway.ask(LOOKUP, deadline=gateway.now + 2.0)
+    assert late in gateway.attempts
