--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -22,7 +22,7 @@
 HOMES = 3  # engines of a table group's hash order that are tried first
 PRESSURE = 1.6  # latency above best, as a multiple, from which bounds bind
 BUSY, BUSY_FRESH_S = 0.95, 4.0  # busy share that is pressure, for so long or until a better report
-SHARE_STEP = 0.1  # step by which this gateway's share of an engine follows pressure
+SHARE_STEP, SHARE_LEAST = 0.1, 0.5  # how our share of an engine follows pressure; the least of the even part
 SHUN_ABOVE, FAIL_WEIGHT, CUT_WEIGHT = 0.25, 0.2, 0.9  # failing that quarantines; by an error, a cut
 STRAINED, STRAIN_BOUND = 0.5, 0.5  # part without an answer that is strain; part of the bound kept then
 PAUSE_S, PAUSE_MOST_S = 0.25, 2.0  # half the first, and the longest pause from a full engine
@@ -186,12 +186,12 @@
 
     def follow_pressure(self, now: float, step: float) -> float:
         """The share of this engine that is ours: 1 / gateways until latency tells otherwise; cores gained."""
-        one, before = 1.0 / (BOUND_THREADS * self.cores), self.share
+        one, before, even = 1.0 / (BOUND_THREADS * self.cores), self.share, 1.0 / self.settings.gateways
         held, pressed = self.threads * one, self.pressed(now)
         if not pressed and held > self.share * (1 - SHARE_STEP):
             self.share = min(1.0, max(self.share * (1 + step), held))
         elif pressed and held >= max(one, self.share) * (1 - SHARE_STEP):
-            self.share = max(min(1.0 / self.settings.gateways, one), self.share * (1 - step))
+            self.share = max(min(even, max(one, SHARE_LEAST * even)), self.share * (1 - step))
         return (self.share - before) * self.cores
 
     def watch_silence(self, now: float, note_period: float) -> None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -248,3 +248,19 @@
     gateway.tell(build.engines(1))
     late, _ = gateway.ask(LOOKUP, deadline=gateway.now + 2.0)
     assert late in gateway.attempts
+
+
+def test_a_gateway_under_pressure_keeps_half_of_its_even_part_of_an_engine() -> None:
+    """Down at one thread the few slow queries that were let in kept it there, and the engine idle."""
+    gateway = Gateway(number=1, gateways=3)
+    (view,) = gateway.controller.router.engines.values()
+    view.slow, view.threads = 2.0, 24
+    for _ in range(200):
+        view.follow_pressure(gateway.now, 0.1)
+    assert view.share == 0.5 / 3
+    many = Gateway(number=1, gateways=65)
+    (view,) = many.controller.router.engines.values()
+    view.slow, view.threads = 2.0, 24
+    for _ in range(200):
+        view.follow_pressure(many.now, 0.1)
+    assert view.share == 1 / 65  # less than one thread: as before
