--- a/micahold/program/configuration.py
+++ b/micahold/program/configuration.py
@@ -37,15 +37,19 @@
 
     @property
     def most_engine_connections(self) -> int:
-        """Half: each attempt that is out holds about one connection."""
-        return max(1, self.sockets // 2)
+        """Three eighths: each attempt that is out holds about one connection, for a third that clients hold.
+
+        An eighth stays free. Guards against a full table in a burst: connections that make room for others
+        are closed only in the next turn.
+        """
+        return max(1, self.sockets * 3 // 8)
 
     @property
     def most_client_connections(self) -> int:
         """Clients hold a third at most; what is beyond it lets those in that come to end a query."""
         # Files, listener, channel, connections that are closing, and those accepted in one turn.
         reserve = max(16, self.sockets // 16) + MOST_ACCEPTED
-        return max(1, self.sockets - self.most_engine_connections - reserve)
+        return max(1, self.sockets // 2 - reserve)
 
 
 def parse_configuration(data: bytes) -> Configuration:
