Pure cores of the gossip membership, operator's file, and a command line

Need: instances of other installations shall find each other and share suspicions of engines, off where the operator's file says nothing.

Change: micahold/membership holds the cores without I/O (roster with signed records and accusations, randomised probes, rumours, traffic limits, replay guard, evidence about engines, early drains, group size) and a network in virtual time that runs them. The operator's own file is read from S-expressions with every error in one pass; 'micahold check' prints them. No argument still starts the front. import-linter holds layers and purity.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	.venv/bin/ruff check .
 	.venv/bin/ruff format --check --diff .
 	.venv/bin/mypy
+	.venv/bin/lint-imports --no-cache
 
 run: build
 	.venv/bin/python -m micahold
--- /dev/null
+++ b/deploy/operator.example.sexp
@@ -0,0 +1,15 @@
+; Every setting with its default; a required one or one without a default has an example value.
+; Named by MICAHOLD_OPERATOR. What is left out is off. Check it with: micahold check FILE
+(gossip (listen "127.0.0.1:7946")
+        (keys "keys/gateway-a.keys")
+        (members "keys/members.keys")
+        (name "gateway-a")
+        (advertise "127.0.0.1:7946")
+        (seeds "127.0.0.1:7947" "127.0.0.1:7948")
+        (rate 16KiB/s)
+        (rate_in 64KiB/s)
+        (period 1s)
+        (probe_timeout 400ms)
+        (clock_error 30s)
+        (gone)
+        (hearsay yes))
--- a/micahold/__main__.py
+++ b/micahold/__main__.py
@@ -1,82 +1,29 @@
-"""Starts the front: configuration from ``NODE_CONFIG``, log on standard output.
+"""With no argument the front, from the configuration that ``NODE_CONFIG`` names; else a sub-command.
 
-SIGTERM ends it, SIGHUP has it read the configuration again, SIGUSR1 prints its counters.
+Neither side imports the other: a front loads no command line, a command no reactor it does not need.
 """
 
 from __future__ import annotations
 
-import os
-import signal
 import sys
-from pathlib import Path
-from typing import Any
-
-from twisted.internet import error
-from twisted.python import log as twisted_log
-
-from micahold.counters import Counters
-from micahold.program.configuration import Configuration, parse_configuration
-from micahold.program.front import Front, listen_error, unix_clock
-from micahold.program.log import Log
-from micahold.program.loop import install
-from micahold.settings import FormatError
-
-BAD_CONFIGURATION, CANNOT_LISTEN = 2, 1
-
-
-def complain(text: str) -> None:
-    print(f"micahold: {text}", file=sys.stderr, flush=True)
-
-
-def read_configuration() -> Configuration:
-    path = os.environ.get("NODE_CONFIG")
-    if not path:
-        raise FormatError("NODE_CONFIG is not set")
-    try:
-        data = Path(path).read_bytes()
-    except OSError as problem:
-        raise FormatError(f"cannot read {path}: {problem.strerror}") from None
-    return parse_configuration(data)
 
 
 def main() -> int:
-    """0 after SIGTERM, 1 where the address can't be had, 2 where the configuration can't be used."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be heeded: it must never end the program
-    try:
-        configuration = read_configuration()
-    except FormatError as problem:
-        complain(str(problem))
-        return BAD_CONFIGURATION
-    loop = install()
-    now, counters = unix_clock(), Counters()
-    log = Log(sys.stdout.fileno(), now, counters)
-    front = Front(configuration, loop, now, log, counters, loop.stop)
-
-    def note_error(event: dict[str, Any]) -> None:
-        """What Twisted caught: the one session or call has ended, the program goes on."""
-        if event.get("isError"):
-            failure = event.get("failure")
-            text = failure.getBriefTraceback() if failure is not None else repr(event.get("message"))
-            counters.add("errors_caught")
-            log("error_caught", error=text)
-
-    twisted_log.startLoggingWithObserver(note_error, setStdout=False)
-
-    def set_up() -> None:
-        # After start, so that these stand in place of the reactor's own.
-        signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(front.told_to_end))
-        signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(front.take_over, read_configuration))
-        signal.signal(signal.SIGUSR1, lambda *_: loop.callFromThread(front.print_counters))
-
-    loop.callWhenRunning(set_up)
-    try:
-        front.start()
-    except error.CannotListenError as problem:
-        complain(listen_error(problem))
-        return CANNOT_LISTEN
-    loop.run()
-    log.flush()
-    return 0
+    """Exit code; see ``micahold.program.start`` for the front's and ``micahold --help`` for the commands'."""
+    if len(sys.argv) > 1:
+        try:
+            from micahold.commands.cli import run
+        except ModuleNotFoundError as problem:
+            print(
+                f"micahold: {problem.name} is missing: pip install 'micahold[operator]'",
+                file=sys.stderr,
+                flush=True,
+            )
+            return 2
+        return run()
+    from micahold.program.start import start
+
+    return start()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/micahold/commands/check.py
@@ -0,0 +1,34 @@
+"""``micahold check FILE``: every error of the operator's own file, in one pass."""
+
+from __future__ import annotations
+
+import click
+import orjson
+
+from micahold.program.operator_file import OperatorFileError, read_file, reference
+
+
+@click.command("check")
+@click.argument("file", required=False)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of text.")
+@click.option("--reference", "show", is_flag=True, help="Print the reference of all settings and end.")
+@click.pass_context
+def command(context: click.Context, file: str | None, as_json: bool, show: bool) -> None:
+    """Check the operator's own FILE; the exit code is 1 where anything in it is wrong."""
+    if show:
+        click.echo(reference(), nl=False)
+        return
+    if file is None:
+        raise click.UsageError("FILE is missing")
+    problems: list[str] = []
+    try:
+        read_file(file)
+    except OperatorFileError as error:
+        problems = error.problems
+    if as_json:
+        click.echo(orjson.dumps({"file": file, "problems": problems}))
+    else:
+        for line in problems:
+            click.echo(line, err=True)
+        click.echo(f"{file}: {'fine' if not problems else f'{len(problems)} wrong'}")
+    context.exit(1 if problems else 0)
--- /dev/null
+++ b/micahold/membership/group.py
@@ -0,0 +1,640 @@
+"""One member of the group: the cores joined, fed with datagrams and time, answering with datagrams and news.
+
+Pure: time comes as an argument, random numbers from a seed, signatures through ``Signer`` and ``Keyring``.
+The same calls give the same answers, in the service on sockets as in virtual time. Callers hand in what
+arrives (``receive``, ``frame``), what this gateway sees itself (``attempt_ended``, ``listed``) and the
+passing of time (``tick``, due at ``due()``), and then take away ``outbox``, ``exchanges`` and ``news``.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import inf
+from random import Random
+
+from micahold.membership import wire
+from micahold.membership.drains import EarlyDrains
+from micahold.membership.evidence import OLD_S, Evidence
+from micahold.membership.health import LocalHealth, Stall
+from micahold.membership.keyring import Keyring, Signer
+from micahold.membership.prober import Probe, Prober, Relay
+from micahold.membership.replay import ReplayGuard
+from micahold.membership.roster import Change, Roster, Status, differing
+from micahold.membership.rumours import Rumours
+from micahold.membership.size import Size, group_size
+from micahold.membership.traffic import Egress, Ingress, Level
+from micahold.membership.wire import Kind, Signed, WireError
+
+Address = tuple[str, int]
+
+GOSSIP_PART = 0.2  # of a period: how often rumours go out besides the probes, while there are any
+GOSSIP_FANOUT = 3
+TESTIFY_S = 1.0
+TRY_DEAD_PERIODS, SEED_PERIODS = 5, 10  # how often a dead member is tried, and seeds while nobody lives
+EXCHANGE_LEAST, EXCHANGE_MOST = 2.0, 30.0  # periods between full exchanges: after a difference, and at rest
+WAIT_FOR_ROOM_S = 0.5  # a message that finds no room in the traffic limit waits so long at most
+MOST_WAITING = 64
+MOST_CHECKED = 4096  # signatures found good that are remembered
+STATEMENT_AGE_S = 60.0  # accusations and drains older than this are not heeded
+PACKET_BASE = 140  # bytes of a datagram without its statements, or less
+VERDICT_S = 0.2  # how often the verdict is worked out anew
+HOUSEKEEPING_S = 5.0
+
+
+@dataclass(slots=True, frozen=True)
+class Options:
+    """What one member is told at its start; ``rate``, ``rate_in``, ``seeds`` and ``gone`` may change in
+    service.
+    """
+
+    name: str
+    address: Address
+    seeds: tuple[Address, ...] = ()
+    rate: int = 16 * 1024
+    rate_in: int = 64 * 1024
+    period: float = 1.0
+    probe_timeout: float = 0.4
+    clock_error: float = 30.0
+    gone: tuple[str, ...] = ()
+    told: int = 1  # gateways by the platform's settings
+    lifeguard: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """What the decisions are told; void after ``until``."""
+
+    failing: frozenset[str]
+    draining: frozenset[str]
+    size: Size
+    until: float
+
+
+@dataclass(slots=True, frozen=True)
+class Datagram:
+    """Bytes for an address."""
+
+    address: Address
+    data: bytes
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A message that found no room yet."""
+
+    level: Level
+    until: float
+    name: str
+    address: Address
+    messages: tuple[wire.Message, ...]
+
+
+class Group:
+    """One member."""
+
+    def __init__(self, options: Options, signer: Signer, keyring: Keyring, now: float, seed: int) -> None:
+        self.options, self.signer, self.keyring = options, signer, keyring
+        self.random = Random(seed)
+        self.roster = Roster(options.name, options.period, options.lifeguard)
+        self.prober = Prober(self.random)
+        self.health, self.stall = LocalHealth(options.lifeguard), Stall(options.lifeguard)
+        self.rumours, self.evidence, self.drains = Rumours(), Evidence(), EarlyDrains()
+        self.egress, self.ingress = Egress(options.rate), Ingress(options.rate_in)
+        self.replay = ReplayGuard(options.clock_error)
+        self.counts: Counter[str] = Counter()
+        self.outbox: list[Datagram] = []
+        self.exchanges: list[tuple[str, Address]] = []  # full exchanges that should be begun
+        self.news: list[Change] = []
+        self.run, self.sequence, self.testimonies = int(now * 1000), 0, 0
+        self.engines: set[str] = set()
+        self.verdict = Verdict(frozenset(), frozenset(), Size(options.told, options.told), now)
+        self.leaving = False
+        self._checked: OrderedDict[tuple[str, str, bytes], bytes] = OrderedDict()
+        self._waiting: deque[Waiting] = deque()
+        self._exchange_pause = EXCHANGE_LEAST
+        self._sized = -1  # version of the roster by which the size was last worked out
+        period = options.period
+        begin = now + self.random.random() * period
+        self._probe_at, self._gossip_at, self._testify_at = begin, begin, begin
+        self._try_at, self._seed_at = begin + TRY_DEAD_PERIODS * period, now
+        self._exchange_at, self._verdict_at, self._clean_at = begin + 2 * period, now, now + HOUSEKEEPING_S
+        self.record = wire.Record(self.run, *options.address)
+        self.own_record: Signed = self._sign(now, Kind.RECORD, self.record)
+        self.rumours.add(("record", options.name), self.own_record, Level.OWN)
+
+    # Statements
+
+    def _sign(self, now: float, kind: Kind, item: wire.Record | wire.Accusation | wire.Testimony | wire.Drains
+              | wire.Packet) -> Signed:  # fmt: skip
+        body, name = wire.encode(item), self.options.name
+        key, _ = self.signer.sign(now, b"")
+        key, signature = self.signer.sign(now, wire.signed_bytes(kind, name, key, body))
+        return Signed(kind, name, key, body, signature)
+
+    def _good(self, now: float, signed: Signed) -> bool:
+        """Whether the signature is good; those found good are remembered, so a statement is checked once."""
+        mark = signed.origin, signed.key, signed.signature
+        known = self._checked.get(mark)
+        if known is not None and known == signed.body and self.keyring.why_not(now, *mark[:2]) is None:
+            self._checked.move_to_end(mark)
+            return True
+        self.counts["signatures_checked"] += 1
+        why = self.keyring.accepts(now, *mark[:2], signed.signed_bytes(), signed.signature)
+        if why is not None:
+            self.counts[f"statements_{why}"] += 1
+            return False
+        if signed.kind != Kind.PACKET:
+            self._checked[mark] = signed.body
+            if len(self._checked) > MOST_CHECKED:
+                self._checked.popitem(last=False)
+        return True
+
+    def _renew(self, now: float, level: Level, left: bool = False) -> None:
+        """A new record of our own, of the next incarnation."""
+        self.record = wire.Record(self.record.incarnation + 1, *self.options.address, left)
+        self.own_record = self._sign(now, Kind.RECORD, self.record)
+        self.rumours.add(("record", self.options.name), self.own_record, level)
+
+    # What arrives
+
+    def receive(self, now: float, data: bytes, source: Address) -> None:
+        """A datagram; whatever is wrong with it is counted and dropped, and nothing raised."""
+        self.counts["datagrams_in"] += 1
+        if not self.ingress.take(now, source, len(data), len(self.keyring.keys)):
+            self.counts["datagrams_over_rate"] += 1
+            return
+        packet = self._open(now, data, wire.MOST_DATAGRAM)
+        if packet is not None:
+            self._packet(now, *packet)
+
+    def _open(self, now: float, data: bytes, most: int) -> tuple[str, wire.Packet] | None:
+        """The sender and the packet, where it is whole, ours, new and signed; else None, counted."""
+        try:
+            signed = wire.decode_signed(data, most)
+            packet = wire.decode_body(signed, wire.Packet)
+        except WireError:
+            self.counts["datagrams_unreadable"] += 1
+            return None
+        sender = signed.origin
+        if sender == self.options.name or packet.to not in (self.options.name, ""):
+            self.counts["datagrams_not_ours"] += 1
+            return None
+        why = self.keyring.why_not(now, sender, signed.key)
+        why = why or self.replay.check(now, sender, packet.run, packet.sequence, packet.at)
+        if why is not None:
+            self.counts[f"datagrams_{why}"] += 1
+            return None
+        if not self._good(now, signed):
+            return None
+        self.replay.commit(now, sender, packet.run, packet.sequence, packet.at)
+        return sender, packet
+
+    def _packet(self, now: float, sender: str, packet: wire.Packet) -> None:
+        self.roster.heard_from(now, sender)
+        for item in packet.items:
+            self._statement(now, item)
+        for message in packet.messages:
+            self._message(now, sender, message)
+
+    def _statement(self, now: float, signed: Signed) -> None:
+        """A statement that somebody passed on; one that is wrong harms nothing but itself."""
+        try:
+            match signed.kind:
+                case Kind.RECORD:
+                    self._hear_record(now, signed, wire.decode_body(signed, wire.Record))
+                case Kind.ACCUSATION:
+                    self._hear_accusation(now, signed, wire.decode_body(signed, wire.Accusation))
+                case Kind.TESTIMONY:
+                    self._hear_testimony(now, signed, wire.decode_body(signed, wire.Testimony))
+                case Kind.DRAINS:
+                    self._hear_drains(now, signed, wire.decode_body(signed, wire.Drains))
+                case _:
+                    self.counts["statements_out_of_place"] += 1
+        except WireError:
+            self.counts["statements_unreadable"] += 1
+
+    def _hear_record(self, now: float, signed: Signed, record: wire.Record) -> None:
+        name = signed.origin
+        if name == self.options.name:
+            # Of an earlier run whose clock was ahead, or of another process under our name and key.
+            if record.incarnation > self.record.incarnation and self._good(now, signed):
+                self.record = record
+                self._renew(now, Level.REFUTE, left=self.leaving)
+                self.counts["records_of_own_name"] += 1
+            return
+        known = self.roster.members.get(name)
+        if known is not None and record.incarnation <= known.record.incarnation and not record.left:
+            self.rumours.heard_again(("record", name), signed)
+            return  # nothing new, nothing to check
+        if not self._good(now, signed):
+            return
+        fresh, changes = self.roster.learn(now, signed, record)
+        if fresh:
+            cleared = any(one.before in (Status.SUSPECT, Status.DEAD) for one in changes)
+            self.rumours.add(("record", name), signed, Level.REFUTE if cleared else Level.OTHERS)
+            if known is not None:
+                self._drop_refuted(name, record.incarnation)
+        for change in changes:
+            self.news.append(change)
+            if change.before is None and change.after is Status.ALIVE:
+                self.prober.joined(name)
+            if change.why == "came_back":
+                self._exchange_at = min(self._exchange_at, now + self.options.period * self.random.random())
+
+    def _drop_refuted(self, name: str, incarnation: int) -> None:
+        """Accusations of earlier incarnations need not go out any more."""
+        self.rumours.drop(
+            lambda key: (
+                not (isinstance(key, tuple) and key[:2] == ("accusation", name) and key[3] < incarnation)
+            )
+        )
+
+    def _hear_accusation(self, now: float, signed: Signed, accusation: wire.Accusation) -> None:
+        if abs(now - accusation.at / 1000) > STATEMENT_AGE_S + self.options.clock_error:
+            return
+        subject, accuser = accusation.subject, signed.origin
+        if subject == self.options.name:
+            current = accusation.incarnation == self.record.incarnation
+            if current and not self.leaving and self._good(now, signed):
+                self.counts["accused"] += 1
+                if self.roster.believes(now, accuser):
+                    self.health.note(+1)
+                self._renew(now, Level.REFUTE)
+            return
+        member = self.roster.members.get(subject)
+        if member is None or member.record.incarnation != accusation.incarnation:
+            return
+        if member.suspicion is not None and accuser in member.suspicion.accusers:
+            self.rumours.heard_again(("accusation", subject, accuser, accusation.incarnation), signed)
+            return
+        if not self._good(now, signed):
+            return
+        self._accuse(now, signed, accusation, Level.OTHERS)
+
+    def _accuse(self, now: float, signed: Signed, accusation: wire.Accusation, level: Level) -> None:
+        fresh, changes = self.roster.accuse(now, signed, accusation)
+        if fresh:
+            key = ("accusation", accusation.subject, signed.origin, accusation.incarnation)
+            self.rumours.add(key, signed, level)
+        self.news += changes
+
+    def _hear_testimony(self, now: float, signed: Signed, testimony: wire.Testimony) -> None:
+        origin = signed.origin
+        if origin == self.options.name or abs(now - testimony.at / 1000) > OLD_S + self.options.clock_error:
+            return
+        age = self.replay.age(now, origin, testimony.at)
+        if age is not None and age > OLD_S:
+            return
+        voice = self.evidence.voices.get(origin)
+        if voice is not None and (testimony.run, testimony.sequence, signed) in voice.before:
+            self.rumours.heard_again(("testimony", origin), signed)
+            return
+        if not self._good(now, signed):
+            return
+        if self.evidence.hear(now, signed, testimony, now - (age or 0.0)):
+            proof = self.evidence.proofs.get(origin)
+            if proof is None:
+                self.rumours.add(("testimony", origin), signed, Level.OTHERS)
+            else:
+                self.counts["liars_proven"] += 1
+                self.news.append(Change(origin, None, Status.ALIVE, "two testimonies under one sequence"))
+                for at, one in enumerate(proof):
+                    self.rumours.add(("proof", origin, at), one, Level.OWN)
+
+    def _hear_drains(self, now: float, signed: Signed, drains: wire.Drains) -> None:
+        origin = signed.origin
+        if origin == self.options.name or origin in self.evidence.proofs:
+            return
+        age = self.replay.age(now, origin, drains.at)
+        if abs(now - drains.at / 1000) > OLD_S + self.options.clock_error or (age or 0.0) > OLD_S:
+            return
+        if self._good(now, signed):
+            self.drains.hear(now, origin, drains.engines)
+            self.rumours.add(("drains", origin), signed, Level.OTHERS)
+            self._judge(now)
+
+    def _message(self, now: float, sender: str, message: wire.Message) -> None:
+        member = self.roster.members.get(sender)
+        if member is None:
+            return  # its record was not with it: nowhere to answer to
+        match message:
+            case wire.Ping(nonce):
+                self._post(now, Level.REFUTE, sender, member.address, wire.Ack(nonce))
+            case wire.PingFor(nonce, target):
+                self._relay(now, sender, nonce, target)
+            case wire.Ack(nonce):
+                ended = self.prober.acked(nonce, sender)
+                if isinstance(ended, Relay) and (asker := self.roster.members.get(ended.asker)) is not None:
+                    self._post(now, Level.REFUTE, asker.name, asker.address, wire.Ack(ended.askers_nonce))
+                elif isinstance(ended, Probe):
+                    self.health.note(-1)
+                    self.counts["probes_good"] += 1
+            case wire.Nack(nonce):
+                self.prober.nacked(nonce, sender)
+            case _:
+                self.counts["messages_out_of_place"] += 1
+
+    def _relay(self, now: float, asker: str, nonce: int, target: str) -> None:
+        member = self.roster.members.get(target)
+        if member is None or member.status is Status.LEFT:
+            return
+        relay = self.prober.relay(now, asker, nonce, self.options.probe_timeout, self.options.period)
+        if relay is not None:
+            self._post(now, Level.PROBE, target, member.address, wire.Ping(relay.nonce))
+
+    # What leaves
+
+    def _packet_bytes(
+        self, now: float, name: str, messages: Iterable[wire.Message], items: Iterable[Signed]
+    ) -> bytes:
+        self.sequence += 1
+        packet = wire.Packet(name, self.run, self.sequence, int(now * 1000), tuple(messages), tuple(items))
+        return wire.encode(self._sign(now, Kind.PACKET, packet))
+
+    def _post(self, now: float, level: Level, name: str, address: Address, *messages: wire.Message) -> None:
+        """Send now where the limit has room, else a little later, else not at all."""
+        if not self._send(now, level, name, address, messages):
+            self.counts["messages_waited"] += 1
+            self._waiting.append(Waiting(level, now + WAIT_FOR_ROOM_S, name, address, messages))
+            if len(self._waiting) > MOST_WAITING:
+                self._waiting.remove(max(self._waiting, key=lambda one: (one.level, -one.until)))
+                self.counts["messages_given_up"] += 1
+
+    def _send(
+        self, now: float, level: Level, name: str, address: Address, messages: tuple[wire.Message, ...]
+    ) -> bool:
+        items = self._riders(now, level, name)
+        data = self._packet_bytes(now, name, messages, items)
+        while len(data) > wire.MOST_DATAGRAM and items:
+            items.pop()
+            data = self._packet_bytes(now, name, messages, items)
+        if not self.egress.take(now, level, len(data)):
+            return False
+        self.counts["datagrams_out"] += 1
+        self.counts["bytes_out"] += len(data)
+        self.outbox.append(Datagram(address, data))
+        return True
+
+    def _riders(self, now: float, level: Level, name: str) -> list[Signed]:
+        """Statements that ride along: what the receiver needs to know first, then rumours by their order."""
+        items: list[Signed] = []
+        member = self.roster.members.get(name)
+        introduced = member is not None and member.heard > -inf
+        if not introduced:
+            items.append(self.own_record)  # or it has nowhere to answer to
+        if member is not None and member.suspicion is not None:
+            items += list(member.suspicion.accusers.values())[:1]  # so that it can clear its name
+        room = wire.MOST_DATAGRAM - PACKET_BASE - sum(one.length() for one in items)
+        for floor in (Level.OTHERS, Level.OWN, Level.REFUTE):
+            free = self.egress.room(now, floor) - PACKET_BASE
+            if free >= room // 2 or floor is Level.REFUTE:
+                room = min(room, free)
+                return items + self.rumours.take(max(0, room), self.roster.size(), 12, floor)
+        return items
+
+    # Time
+
+    def tick(self, now: float) -> None:
+        """Do what has come due."""
+        late = self.stall.late(now)
+        if late:
+            self.counts["stalls"] += 1
+            self.roster.postpone(late)
+            self.prober.postpone(late)
+        self._send_waiting(now)
+        if not self.leaving:
+            self._probe(now)
+            self._conclude(now)
+            if now >= self._testify_at:
+                self._testify_at = now + TESTIFY_S
+                self._testify(now)
+            self._seek(now)
+        if now >= self._gossip_at:
+            self._gossip_at = now + GOSSIP_PART * self.options.period
+            self._gossip(now)
+        if now >= self._verdict_at:
+            self._judge(now)
+        if now >= self._clean_at:
+            self._clean_at = now + HOUSEKEEPING_S
+            self._clean(now)
+        self.stall.expect(self.due())
+
+    def due(self) -> float:
+        """When ``tick`` is wanted next, at the latest."""
+        times = [self._gossip_at, self._verdict_at, self._clean_at]
+        if not self.leaving:
+            times += [self._probe_at, self._testify_at, self._try_at, self._exchange_at, self._seed_at]
+            times += [self.prober.due(), self.roster.due()]
+        return min(times)
+
+    def _send_waiting(self, now: float) -> None:
+        waiting, self._waiting = sorted(self._waiting, key=lambda one: one.level), deque()
+        for one in waiting:
+            if now >= one.until:
+                self.counts["messages_given_up"] += 1
+            elif not self._send(now, one.level, one.name, one.address, one.messages):
+                self._waiting.append(one)
+
+    def _probe(self, now: float) -> None:
+        period, timeout = (
+            one * self.health.stretch for one in (self.options.period, self.options.probe_timeout)
+        )
+        for probe in self.prober.to_ask(now):
+            for name in self.prober.helpers(probe, self.roster.living()):
+                helper = self.roster.members[name]
+                self._post(now, Level.PROBE, name, helper.address, wire.PingFor(probe.nonce, probe.target))
+        for relay in self.prober.to_nack(now):
+            if (asker := self.roster.members.get(relay.asker)) is not None:
+                self._post(now, Level.REFUTE, asker.name, asker.address, wire.Nack(relay.askers_nonce))
+        for probe in self.prober.ended(now):
+            self._failed(now, probe)
+        if now >= self._probe_at:
+            self._probe_at = now + period
+            target = self.prober.next(self.roster.living())
+            if target is not None:
+                self.counts["probes"] += 1
+                probe = self.prober.begin(now, target, timeout, period)
+                member = self.roster.members[target]
+                self._post(now, Level.PROBE, target, member.address, wire.Ping(probe.nonce))
+
+    def _failed(self, now: float, probe: Probe) -> None:
+        self.counts["probes_failed"] += 1
+        self.health.note(len(probe.helpers) - probe.nacks if probe.helpers else +1)
+        member = self.roster.members.get(probe.target)
+        if member is None or member.status not in (Status.ALIVE, Status.SUSPECT):
+            return
+        if member.suspicion is not None and self.options.name in member.suspicion.accusers:
+            return
+        accusation = wire.Accusation(probe.target, member.record.incarnation, int(now * 1000))
+        self._accuse(now, self._sign(now, Kind.ACCUSATION, accusation), accusation, Level.OWN)
+
+    def _conclude(self, now: float) -> None:
+        self.news += self.roster.expire(now)
+
+    def _gossip(self, now: float) -> None:
+        """Rumours besides those that ride on probes, to a few members at random."""
+        living = self.roster.living()
+        if not len(self.rumours) or not living:
+            return
+        for name in self.random.sample(living, min(GOSSIP_FANOUT, len(living))):
+            if len(self.rumours) and self.egress.room(now, Level.OTHERS) >= 400:
+                self._send(now, Level.OTHERS, name, self.roster.members[name].address, ())
+
+    def _seek(self, now: float) -> None:
+        """Seeds while nobody lives, members thought dead now and then, a full exchange at its time."""
+        period = self.options.period
+        if now >= self._seed_at:
+            alone = not self.roster.living()
+            self._seed_at = now + period * (2 if alone else SEED_PERIODS * 3) * (0.5 + self.random.random())
+            known = {one.address for one in self.roster}
+            for seed in self.options.seeds:
+                if seed != self.options.address and (alone or seed not in known):
+                    self._post(now, Level.PROBE, "", seed, wire.Ping(self.prober.nonce()))
+        if now >= self._try_at:
+            self._try_at = now + period * TRY_DEAD_PERIODS * (0.5 + self.random.random())
+            if dead := self.roster.of(Status.DEAD):
+                one = self.random.choice(dead)
+                self._post(now, Level.PROBE, one.name, one.address, wire.Ping(self.prober.nonce()))
+        if now >= self._exchange_at:
+            self._exchange_at = now + period * self._exchange_pause * (0.5 + self.random.random())
+            self._exchange_pause = min(EXCHANGE_MOST, 2 * self._exchange_pause)
+            if living := self.roster.living():
+                name = self.random.choice(living)
+                self.exchanges.append((name, self.roster.members[name].address))
+
+    def _clean(self, now: float) -> None:
+        """What is kept of members, keys and engines goes when they go."""
+        names = self.keyring.names - {self.options.name}
+        self.roster.keep_only(names)
+        self.evidence.keep_only(now, names, self.engines)
+        self.replay.forget(now, names)
+        for name in list(self._checked):
+            if self.keyring.why_not(now, name[0], name[1]) is not None:
+                del self._checked[name]
+
+    # Full exchange: frames of one connection, asked and answered
+
+    def exchange(self, now: float, name: str) -> bytes | None:
+        """The first frame of a full exchange with that member; None where the traffic limit has no room."""
+        summary = wire.Summary(self.roster.summary((self.options.name, self.record)))
+        return self._frame(now, name, (summary,), [])
+
+    def frame(self, now: float, data: bytes, source: Address) -> list[bytes]:
+        """Answers to one frame of a full exchange; empty where the exchange is over."""
+        if not self.ingress.take(now, source, len(data), len(self.keyring.keys)):
+            self.counts["frames_over_rate"] += 1
+            return []
+        opened = self._open(now, data, wire.MOST_FRAME)
+        if opened is None:
+            return []
+        sender, packet = opened
+        mine = self.roster.summary((self.options.name, self.record))
+        self.roster.heard_from(now, sender)
+        for item in packet.items:
+            self._statement(now, item)
+        answers: list[bytes | None] = []
+        for message in packet.messages:
+            match message:
+                case wire.Summary(theirs):
+                    differ = differing(mine, theirs)
+                    self._exchanged(bool(differ))
+                    if differ:
+                        answers.append(self._entries(now, sender, differ, ask=True))
+                case wire.Entries(buckets, ask):
+                    self._exchanged(True)
+                    if ask:
+                        answers.append(self._entries(now, sender, list(buckets), ask=False))
+                case _:
+                    self.counts["messages_out_of_place"] += 1
+        return [one for one in answers if one is not None]
+
+    def _exchanged(self, differed: bool) -> None:
+        if differed:
+            self._exchange_pause = EXCHANGE_LEAST
+
+    def _entries(self, now: float, name: str, buckets: list[int], ask: bool) -> bytes | None:
+        """As many of these buckets, from a random one on, as the traffic limit has room for."""
+        room = min(wire.MOST_FRAME, self.egress.room(now, Level.EXCHANGE)) - 2 * PACKET_BASE
+        turn = self.random.randrange(len(buckets)) if buckets else 0
+        items: list[Signed] = []
+        for signed in self.roster.entries(buckets[turn:] + buckets[:turn]):
+            if signed.length() <= room and len(items) < wire.MOST_ITEMS - 1:
+                room -= signed.length()
+                items.append(signed)
+        asked = bytes(one for one in buckets if one < 64)[:64]
+        return self._frame(now, name, (wire.Entries(asked, ask),), [self.own_record, *items])
+
+    def _frame(
+        self, now: float, name: str, messages: tuple[wire.Message, ...], items: list[Signed]
+    ) -> bytes | None:
+        data = self._packet_bytes(now, name, messages, items)
+        if len(data) > wire.MOST_FRAME or not self.egress.take(now, Level.EXCHANGE, len(data)):
+            self.counts["frames_no_room"] += 1
+            return None
+        self.counts["bytes_out"] += len(data)
+        self.counts["frames_out"] += 1
+        return data
+
+    # What this gateway sees itself
+
+    def attempt_ended(self, now: float, engine: str, failed: bool) -> None:
+        """One attempt of this gateway's own on an engine."""
+        if engine in self.engines:
+            self.evidence.sight.note(now, engine, failed)
+
+    def listed(self, now: float, up: set[str], draining: set[str]) -> None:
+        """This gateway's own engine list: those that are up, and those that drain."""
+        new = draining & self.engines
+        self.engines = set(up)
+        self.drains.listed(self.engines)
+        if new:
+            told = wire.Drains(int(now * 1000), tuple(sorted(new))[: wire.MOST_ROWS])
+            signed = self._sign(now, Kind.DRAINS, told)
+            self.rumours.add(("drains", self.options.name), signed, Level.OWN)
+            self._gossip(now)
+        self._judge(now)
+
+    def _testify(self, now: float) -> None:
+        rows = self.evidence.own_rows(now, self.engines, self.roster.size())
+        if not rows:
+            return
+        self.testimonies += 1
+        at, window = int(now * 1000), 5000
+        testimony = wire.Testimony(self.run, self.testimonies, at, window, rows)
+        while len(rows) > 1 and len(wire.encode(testimony)) > 700:
+            rows = rows[:-1]
+            testimony = wire.Testimony(self.run, self.testimonies, at, window, rows)
+        signed = self._sign(now, Kind.TESTIMONY, testimony)
+        self.rumours.add(("testimony", self.options.name), signed, Level.OWN)
+
+    def _judge(self, now: float) -> None:
+        self._verdict_at = now + VERDICT_S
+        living = self.roster.size()
+        failing = self.evidence.failing(now, self.engines, living)
+        size = self.verdict.size
+        if self._sized != self.roster.version:
+            self._sized = self.roster.version
+            states = ((one.name, one.status) for one in self.roster)
+            size = group_size(self.options.told, states, self.options.gone)
+        self.verdict = Verdict(failing, self.drains.draining(now), size, now + OLD_S)
+
+    # Changes in service
+
+    def leave(self, now: float) -> None:
+        """Say that this member goes, so that nobody suspects it; call ``tick`` for a while longer."""
+        self.leaving = True
+        self._renew(now, Level.REFUTE, left=True)
+        self._gossip_at = now
+        self._gossip(now)
+
+    def reconfigure(self, now: float, options: Options, signer: Signer, keyring: Keyring) -> None:
+        """Seeds, rates, removed members and keys; our record is signed anew where our key has changed."""
+        self.options, self.signer, self.keyring = options, signer, keyring
+        self.egress.rate, self.ingress.rate = options.rate, options.rate_in
+        self._seed_at, self._sized = now, -1
+        if signer.sign(now, b"")[0] != self.own_record.key:
+            self._renew(now, Level.OWN)
+        self._clean(now)
+        self._judge(now)
