--- a/micahold/membership/group.py
+++ b/micahold/membership/group.py
@@ -16,7 +16,7 @@
 
 from micahold.membership import wire
 from micahold.membership.drains import EarlyDrains
-from micahold.membership.evidence import OLD_S, Evidence
+from micahold.membership.evidence import OLD_S, Evidence, Voice
 from micahold.membership.health import LocalHealth, Stall
 from micahold.membership.keyring import Keyring, Signer
 from micahold.membership.prober import Probe, Prober, Relay
@@ -638,3 +638,50 @@
             self._renew(now, Level.OWN)
         self._clean(now)
         self._judge(now)
+
+    # For people
+
+    def asked_by_own(self, now: float, data: bytes) -> bool:
+        """Whether a frame asks for ``view``, signed with this member's own key within the last seconds."""
+        try:
+            signed = wire.decode_signed(data, wire.MOST_DATAGRAM)
+            if signed.origin != self.options.name:
+                return False
+            packet = wire.decode_body(signed, wire.Packet)
+        except WireError:
+            return False
+        wanted = packet.to == self.options.name and packet.messages == (wire.View(),)
+        return wanted and abs(now - packet.at / 1000) < STATEMENT_AGE_S and self._good(now, signed)
+
+    def view(self, now: float) -> dict[str, object]:
+        """What this member knows of its group, as plain data."""
+        members = [
+            {
+                "name": one.name,
+                "address": f"{one.record.host}:{one.record.port}",
+                "status": one.status.value,
+                "incarnation": one.record.incarnation,
+                "since_s": round(now - one.changed, 1),
+                "heard_s": round(now - one.heard, 1) if one.heard > -inf else None,
+                "accusers": sorted(one.suspicion.accusers) if one.suspicion is not None else [],
+                "believed": self.roster.believes(now, one.name),
+                "credit": round(voice.believed(now), 2) if (voice := self._voice(one.name)) else None,
+                "liar": one.name in self.evidence.proofs,
+            }
+            for one in sorted(self.roster, key=lambda one: one.name)
+        ]
+        return {
+            "name": self.options.name,
+            "address": f"{self.options.address[0]}:{self.options.address[1]}",
+            "incarnation": self.record.incarnation,
+            "health": self.health.score,
+            "bound": self.verdict.size.bound,
+            "living": self.verdict.size.living,
+            "failing": sorted(self.verdict.failing),
+            "draining": sorted(self.verdict.draining),
+            "members": members,
+            "counts": dict(sorted(self.counts.items())),
+        }
+
+    def _voice(self, name: str) -> Voice | None:
+        return self.evidence.voices.get(name)
--- a/micahold/membership/wire.py
+++ b/micahold/membership/wire.py
@@ -131,7 +131,11 @@
     ask: bool = False
 
 
-Message = Ping | Ack | PingFor | Nack | Summary | Entries
+class View(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Asked of a member by who holds its own key: what does it know of its group?"""
+
+
+Message = Ping | Ack | PingFor | Nack | Summary | Entries | View
 
 
 class Packet(msgspec.Struct, frozen=True, array_like=True):
--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 from enum import Enum
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet import error
 
@@ -51,6 +51,20 @@
     return lambda: base + time.monotonic()
 
 
+class Companion(Protocol):
+    """What the operator's own file switches on beside the front."""
+
+    def start(self) -> None: ...
+
+    def leave(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+    def take_over(self) -> None: ...
+
+    def counters(self) -> dict[str, int]: ...
+
+
 class Front:
     """Puts the parts together and takes them through the phases."""
 
@@ -102,6 +116,7 @@
             clock, configuration.channel, configuration.cursor, self._list_event, counters, log
         )
         self.collector = Collector(clock, lambda: self.exchange.unanswered == 0, counters.add)
+        self.companion: Companion | None = None
         self._port: Any = None
         self._give_up_at = 0.0
 
@@ -117,6 +132,8 @@
         host, port = self.configuration.listen
         self._port = self.clock.listenTCP(port, self.sessions, backlog=BACKLOG, interface=host)
         self.channel.start()
+        if self.companion is not None:
+            self.companion.start()
         self.clock.callLater(LAG_S, self._measure_lag, self.clock.seconds() + LAG_S)
         self.collector.start()
         self._enter(Phase.SERVING)
@@ -164,6 +181,12 @@
         self.log("reload", channel_moved=moved, only_on_restart=on_restart)
         self.channel.move(new.channel)
 
+    def reload(self, read: Callable[[], Configuration]) -> None:
+        """SIGHUP: the platform's file and the operator's, each for itself."""
+        self.take_over(read)
+        if self.companion is not None:
+            self.companion.take_over()
+
     # The end
 
     def told_to_end(self) -> None:
@@ -176,6 +199,8 @@
         left = max(NOTICE_S, kill_after - BEFORE_KILL_S - FLUSH_S)
         self._give_up_at = self.clock.seconds() + left
         self.exchange.close_within(left - DECIDED_S)
+        if self.companion is not None:
+            self.companion.leave()
         self.clock.callLater(NOTICE_S, self._drain)
 
     def _drain(self) -> None:
@@ -202,12 +227,15 @@
             self.clock.callLater(LOG_PAUSE_S / 5, self._await_sessions)
             return
         self.sessions.abort_all()
+        if self.companion is not None:
+            self.companion.stop()
         self._enter(Phase.STOPPED)
         self.print_counters()
         self._stop()
 
     def print_counters(self) -> None:
-        self.log("counters", open=self.exchange.unanswered, **self.counters.snapshot())
+        more = self.companion.counters() if self.companion is not None else {}
+        self.log("counters", open=self.exchange.unanswered, **self.counters.snapshot(), **more)
 
 
 def listen_error(problem: error.CannotListenError) -> str:
--- /dev/null
+++ b/micahold/program/operator.py
@@ -0,0 +1,116 @@
+"""What the operator's own file switches on, around a front; imported only where that file is named."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from micahold.membership.group import Group, Options
+from micahold.membership.keyring import Keyring
+from micahold.membership.service import Gossip
+from micahold.membership.signing import Hand, KeyFileError, read_members, read_own
+from micahold.program.front import Front
+from micahold.program.operator_file import OperatorFileError, changes, read_file
+from micahold.program.operator_settings import Gossip as GossipSettings
+from micahold.program.operator_settings import Operator as OperatorSettings
+
+
+def read_all(path: str) -> tuple[OperatorSettings, Hand | None, Keyring | None]:
+    """The file and the key files it names; ``OperatorFileError`` where any can't be used."""
+    settings = read_file(path)
+    if settings.gossip is None:
+        return settings, None, None
+    try:
+        return settings, Hand(read_own(settings.gossip.keys)), read_members(settings.gossip.members)
+    except KeyFileError as problem:
+        raise OperatorFileError([str(problem)]) from None
+
+
+def options_of(gossip: GossipSettings, front_name: str, told: int) -> Options:
+    """The settings as the group wants them."""
+    return Options(
+        name=gossip.name or front_name,
+        address=gossip.advertise or gossip.listen,
+        seeds=gossip.seeds,
+        rate=gossip.rate,
+        rate_in=gossip.rate_in,
+        period=gossip.period,
+        probe_timeout=gossip.probe_timeout,
+        clock_error=gossip.clock_error,
+        gone=gossip.gone,
+        told=told,
+    )
+
+
+class Operator:
+    """The subsystems that are on; ``OperatorFileError`` from the constructor where they can't be."""
+
+    def __init__(self, path: str, front: Front, clock: Any, now: Callable[[], float], log: Any) -> None:
+        self.path, self.front, self.now, self.log = path, front, now, log
+        self.settings, hand, keyring = read_all(path)
+        self.gossip: Gossip | None = None
+        configuration = front.configuration
+        if self.settings.gossip is not None and hand is not None and keyring is not None:
+            options = options_of(self.settings.gossip, configuration.name, configuration.settings.gateways)
+            if options.name not in keyring.keys:
+                raise OperatorFileError([f"{self.settings.gossip.members}: no member {options.name}"])
+            group = Group(options, hand, keyring, now(), configuration.seed)
+            self.gossip = Gossip(
+                clock,
+                now,
+                group,
+                self.settings.gossip.listen,
+                log,
+                front.exchange.tell,
+                self.settings.gossip.hearsay,
+            )
+            front.exchange.observer = self.gossip.observe
+
+    def start(self) -> None:
+        if self.gossip is not None:
+            self.gossip.start()
+
+    def leave(self) -> None:
+        if self.gossip is not None:
+            self.gossip.leave()
+
+    def stop(self) -> None:
+        if self.gossip is not None:
+            self.gossip.stop()
+
+    def counters(self) -> dict[str, int]:
+        return self.gossip.counters() if self.gossip is not None else {}
+
+    def take_over(self) -> None:
+        """SIGHUP: what can change in service does; a file that can't be used changes nothing."""
+        try:
+            settings, hand, keyring = read_all(self.path)
+        except OperatorFileError as problem:
+            self.log("operator_reload_refused", errors=problem.problems)
+            return
+        taken, waits = changes(self.settings, settings)
+        old, new = self.settings.gossip, settings.gossip
+        if self.gossip is not None and old is not None and new is not None and hand and keyring:
+            configuration = self.front.configuration
+            told = options_of(old, configuration.name, configuration.settings.gateways)
+            fresh = options_of(new, configuration.name, configuration.settings.gateways)
+            if told.name not in keyring.keys:
+                self.log("operator_reload_refused", errors=[f"{new.members}: no member {told.name}"])
+                return
+            # Only what may change in service; the rest stays as it was at the start.
+            kept = Options(
+                name=told.name,
+                address=told.address,
+                seeds=fresh.seeds,
+                rate=fresh.rate,
+                rate_in=fresh.rate_in,
+                period=told.period,
+                probe_timeout=told.probe_timeout,
+                clock_error=told.clock_error,
+                gone=fresh.gone,
+                told=told.told,
+            )
+            self.gossip.reconfigure(kept, hand, keyring, new.hearsay)
+        self.log("operator_reload", taken_over=taken, only_on_restart=waits)
+        if not waits:
+            self.settings = settings
--- a/micahold/program/start.py
+++ b/micahold/program/start.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +17,7 @@
 
 from micahold.counters import Counters
 from micahold.program.configuration import Configuration, parse_configuration
-from micahold.program.front import Front, listen_error, unix_clock
+from micahold.program.front import Companion, Front, listen_error, unix_clock
 from micahold.program.log import Log
 from micahold.program.loop import install
 from micahold.settings import FormatError
@@ -39,6 +40,19 @@
     return parse_configuration(data)
 
 
+def companion(path: str, front: Front, loop: Any, now: Callable[[], float], log: Log) -> Companion:
+    """What the operator's own file switches on; ``FormatError`` where it can't be used."""
+    try:
+        from micahold.program.operator import Operator
+        from micahold.program.operator_file import OperatorFileError
+    except ModuleNotFoundError as problem:
+        raise FormatError(f"{problem.name} is missing: pip install 'micahold[gossip]'") from None
+    try:
+        return Operator(path, front, loop, now, log)
+    except OperatorFileError as problem:
+        raise FormatError("\nmicahold: ".join(problem.problems)) from None
+
+
 def start() -> int:
     """0 after SIGTERM, 1 where the address can't be had, 2 where the configuration can't be used."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be heeded: it must never end the program
@@ -52,6 +66,13 @@
     log = Log(sys.stdout.fileno(), now, counters)
     front = Front(configuration, loop, now, log, counters, loop.stop)
 
+    if operator := os.environ.get("MICAHOLD_OPERATOR"):
+        try:
+            front.companion = companion(operator, front, loop, now, log)
+        except FormatError as problem:
+            complain(str(problem))
+            return BAD_CONFIGURATION
+
     def note_error(event: dict[str, Any]) -> None:
         """What Twisted caught: the one session or call has ended, the program goes on."""
         if event.get("isError"):
@@ -65,7 +86,7 @@
     def set_up() -> None:
         # After start, so that these stand in place of the reactor's own.
         signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(front.told_to_end))
-        signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(front.take_over, read_configuration))
+        signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(front.reload, read_configuration))
         signal.signal(signal.SIGUSR1, lambda *_: loop.callFromThread(front.print_counters))
 
     loop.callWhenRunning(set_up)
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -83,10 +83,17 @@
         self._events: list[api.Event] = []
         self._at_turn_end, self._flushing = at_turn_end, False
         self._entries: dict[str, api.EngineEntry] = {}
+        self.observer: Callable[[api.Event], None] | None = None  # sees what the decisions are told from here
 
     # What happens
 
+    def tell(self, event: api.Event) -> None:
+        """An event from another subsystem for the decisions."""
+        self._happened(event)
+
     def _happened(self, event: api.Event) -> None:
+        if self.observer is not None:
+            self.observer(event)
         self._events.append(event)
         if not self._flushing:
             self._flushing = True
