--- a/micahold/laboratory/gossip_network.py
+++ b/micahold/laboratory/gossip_network.py
@@ -94,7 +94,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.tap: Callable[[str, Datagram], list[Datagram]] | None = None
         self.counts: Counter[str] = Counter()
-        self._events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._events: list[tuple[float, int, Callable[..., object], tuple[Any, ...]]] = []
         self._serial = 0
 
     # Members
@@ -176,7 +176,7 @@
 
     # Time
 
-    def at(self, when: float, act: Callable[..., None], *arguments: Any) -> None:
+    def at(self, when: float, act: Callable[..., object], *arguments: Any) -> None:
         """``act`` at that moment of the virtual clock."""
         self._serial += 1
         heappush(self._events, (when, self._serial, act, arguments))
--- a/micahold/laboratory/liars.py
+++ b/micahold/laboratory/liars.py
@@ -4,6 +4,7 @@
 
 from micahold.membership import wire
 from micahold.membership.group import Datagram, Group
+from micahold.membership.rumours import Rumour
 from micahold.membership.traffic import Level
 from micahold.membership.wire import Kind
 
@@ -80,12 +81,13 @@
         member = self.roster.members.get(self.victim)
         if member is not None:
             for _ in range(self.datagrams // 5):
-                data = self._packet_bytes(now, self.victim, (wire.Ping(1),), ())
+                data = self._packet_bytes(now, self.victim, (wire.Ping(1),), [self.own_record] * 6)
                 self.outbox.append(Datagram(member.address, data))
 
 
 class Withholder(Group):
     """Passes nothing on that others said."""
 
-    def _riders(self, now: float, level: Level, name: str) -> list[wire.Signed]:
-        return [one for one in super()._riders(now, level, name) if one.origin == self.options.name]
+    def _riders(self, now: float, level: Level, name: str, taken: int) -> list[Rumour]:
+        own = self.options.name
+        return [one for one in super()._riders(now, level, name, taken) if one.signed.origin == own]
--- /dev/null
+++ b/micahold/laboratory/lying_peer.py
@@ -0,0 +1,36 @@
+"""A member on real sockets that lies, for tests on loopback.
+
+``python -m micahold.laboratory.lying_peer FILE NAME ENGINE ...``: FILE is an operator's file, the engines are
+those it calls failing. It ends after ``LASTS_S`` by itself.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any
+
+from twisted.internet import reactor as twisted_reactor
+
+from micahold.laboratory.liars import Slanderer
+from micahold.membership.service import Gossip
+from micahold.program.operator import options_of, read_all
+
+LASTS_S = 60.0
+
+
+def main(path: str, name: str, engines: list[str]) -> None:
+    """Run until the time is up or the process is ended."""
+    settings, hand, keyring = read_all(path)
+    assert settings.gossip is not None and hand is not None and keyring is not None
+    reactor: Any = twisted_reactor
+    group = Slanderer(options_of(settings.gossip, name, 1), hand, keyring, time.time(), 1)
+    peer = Gossip(reactor, time.time, group, settings.gossip.listen, lambda *_, **__: None, lambda _: None)
+    peer.start()
+    group.listed(time.time(), set(engines), set())
+    reactor.callLater(LASTS_S, reactor.stop)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], sys.argv[2], sys.argv[3:])
--- a/micahold/membership/group.py
+++ b/micahold/membership/group.py
@@ -22,7 +22,7 @@
 from micahold.membership.prober import Probe, Prober, Relay
 from micahold.membership.replay import ReplayGuard
 from micahold.membership.roster import Change, Roster, Status, differing
-from micahold.membership.rumours import Rumours
+from micahold.membership.rumours import Rumour, Rumours
 from micahold.membership.size import Size, group_size
 from micahold.membership.traffic import Egress, Ingress, Level
 from micahold.membership.wire import Kind, Signed, WireError
@@ -38,6 +38,8 @@
 MOST_WAITING = 64
 MOST_CHECKED = 4096  # signatures found good that are remembered
 STATEMENT_AGE_S = 60.0  # accusations and drains older than this are not heeded
+INTRODUCED_S = 10.0  # who has spoken to us within that time knows us
+MOST_RIDERS, LEAST_RIDERS = 12, 250  # statements on one datagram; bytes that they want at least
 PACKET_BASE = 140  # bytes of a datagram without its statements, or less
 VERDICT_S = 0.2  # how often the verdict is worked out anew
 HOUSEKEEPING_S = 5.0
@@ -261,6 +263,7 @@
                 self.counts["accused"] += 1
                 if self.roster.believes(now, accuser):
                     self.health.note(+1)
+                self.roster.refuted(now, accuser)
                 self._renew(now, Level.REFUTE)
             return
         member = self.roster.members.get(subject)
@@ -365,35 +368,41 @@
     def _send(
         self, now: float, level: Level, name: str, address: Address, messages: tuple[wire.Message, ...]
     ) -> bool:
-        items = self._riders(now, level, name)
-        data = self._packet_bytes(now, name, messages, items)
-        while len(data) > wire.MOST_DATAGRAM and items:
-            items.pop()
-            data = self._packet_bytes(now, name, messages, items)
+        needed = self._needed(now, name)
+        rumours = self._riders(now, level, name, sum(one.length() for one in needed))
+        if not messages and not rumours:
+            return False  # nothing to say that it does not know
+        data = self._packet_bytes(now, name, messages, [*needed, *(one.signed for one in rumours)])
+        while len(data) > wire.MOST_DATAGRAM and rumours:
+            rumours.pop()
+            data = self._packet_bytes(now, name, messages, [*needed, *(one.signed for one in rumours)])
         if not self.egress.take(now, level, len(data)):
             return False
+        self.rumours.sent(rumours, self.roster.size())
         self.counts["datagrams_out"] += 1
         self.counts["bytes_out"] += len(data)
         self.outbox.append(Datagram(address, data))
         return True
 
-    def _riders(self, now: float, level: Level, name: str) -> list[Signed]:
-        """Statements that ride along: what the receiver needs to know first, then rumours by their order."""
+    def _needed(self, now: float, name: str) -> list[Signed]:
+        """What the receiver has to know before all else."""
         items: list[Signed] = []
         member = self.roster.members.get(name)
-        introduced = member is not None and member.heard > -inf
-        if not introduced:
-            items.append(self.own_record)  # or it has nowhere to answer to
+        if member is None or member.status is not Status.ALIVE or member.heard < now - INTRODUCED_S:
+            items.append(self.own_record)  # it may be new, or have restarted, and have nowhere to answer to
         if member is not None and member.suspicion is not None:
             items += list(member.suspicion.accusers.values())[:1]  # so that it can clear its name
-        room = wire.MOST_DATAGRAM - PACKET_BASE - sum(one.length() for one in items)
-        for floor in (Level.OTHERS, Level.OWN, Level.REFUTE):
-            free = self.egress.room(now, floor) - PACKET_BASE
-            if free >= room // 2 or floor is Level.REFUTE:
-                room = min(room, free)
-                return items + self.rumours.take(max(0, room), self.roster.size(), 12, floor)
         return items
 
+    def _riders(self, now: float, level: Level, name: str, taken: int) -> list[Rumour]:
+        """Rumours that ride along, by their order and as far as the traffic limit has room at their level."""
+        room = wire.MOST_DATAGRAM - PACKET_BASE - taken
+        for floor in (Level.OTHERS, Level.OWN, Level.REFUTE):
+            free = min(self.egress.room(now, floor), self.egress.room(now, level)) - PACKET_BASE - taken
+            if free >= LEAST_RIDERS or floor is Level.REFUTE:
+                return self.rumours.pick(max(0, min(room, free)), MOST_RIDERS, name, floor)
+        return []
+
     # Time
 
     def tick(self, now: float) -> None:
--- a/micahold/membership/roster.py
+++ b/micahold/membership/roster.py
@@ -154,6 +154,10 @@
         standing = self.standings.get(accuser)
         return standing is None or standing.faded(now) < STANDING_MOST
 
+    def refuted(self, now: float, accuser: str) -> None:
+        """An accusation by this member was wrong: the accused cleared its name, or it was us."""
+        self.standings.setdefault(accuser, Standing()).note(now)
+
     # Changes
 
     def _changed(self) -> None:
@@ -186,7 +190,7 @@
             return False, []
         if known.status is Status.SUSPECT and known.suspicion is not None and not record.left:
             for accuser in known.suspicion.accusers:
-                self.standings.setdefault(accuser, Standing()).note(now)
+                self.refuted(now, accuser)
         known.signed, known.record, known.digest = signed, record, digest_of(name, record)
         why = "left" if record.left else "refuted" if known.status is Status.SUSPECT else "came_back"
         return True, self._turn(now, known, after, why)
--- a/micahold/membership/rumours.py
+++ b/micahold/membership/rumours.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass
 from math import ceil, log10
 
@@ -81,30 +81,32 @@
         one.sent += 1
         self._put(one)
 
-    def take(self, room: int, members: int, most: int, floor: Level = Level.OTHERS) -> list[Signed]:
-        """At most ``most`` statements up to level ``floor`` that fit into ``room`` bytes; each counts."""
-        taken: list[Rumour] = []
-        limit, passed = most_sent(members), 0
+    def pick(self, room: int, most: int, to: str = "", floor: Level = Level.OTHERS) -> list[Rumour]:
+        """At most ``most`` rumours up to level ``floor`` in ``room`` bytes, none of them by ``to`` itself."""
+        picked: list[Rumour] = []
+        passed = 0
         for level, sent in sorted(self._lines):
             if level > floor:
                 break
             for one in reversed(self._lines[level, sent].values()):
                 length = one.signed.length()
-                if length <= room:
+                if length <= room and one.signed.origin != to:
                     room -= length
-                    taken.append(one)
+                    picked.append(one)
                 else:
                     passed += 1
-                if len(taken) >= most or room < 96 or passed > most:
-                    break
-            else:
-                continue
-            break
-        for one in taken:
-            self._count(one)
-            if one.sent >= limit:
-                self._remove(one)
-        return [one.signed for one in taken]
+                if len(picked) >= most or room < 96 or passed > 2 * most:
+                    return picked
+        return picked
+
+    def sent(self, rumours: Iterable[Rumour], members: int) -> None:
+        """These have left; what has gone out often enough in a group of that size is dropped."""
+        limit = most_sent(members)
+        for one in rumours:
+            if self.kept.get(one.key) is one:
+                self._count(one)
+                if one.sent >= limit:
+                    self._remove(one)
 
     def __len__(self) -> int:
         return len(self.kept)
--- a/micahold/membership/service.py
+++ b/micahold/membership/service.py
@@ -157,7 +157,8 @@
 
     def counters(self) -> dict[str, int]:
         """Sums by name, for the log."""
-        return {f"gossip_{name}": number for name, number in sorted(self.group.counts.items())}
+        counts = {f"gossip_{name}": number for name, number in sorted(self.group.counts.items())}
+        return {**counts, "most_gossip_bytes_a_second": self.group.egress.peak}
 
     # What happens
 
--- a/micahold/membership/signing.py
+++ b/micahold/membership/signing.py
@@ -25,6 +25,7 @@
 
 MOST_BYTES = 1 << 20
 MOST_PUBLIC = 8192
+SEXP_ERRORS = (sexpdata.ExpectNothing, sexpdata.ExpectSExp, sexpdata.ExpectClosingBracket)
 
 
 class KeyFileError(Exception):
@@ -102,7 +103,7 @@
         items: list[Any] = sexpdata.parse(data.decode())
     except OSError as problem:
         raise KeyFileError(f"{path}: cannot be read: {problem.strerror}") from None
-    except (ValueError, AssertionError, IndexError, sexpdata.ExpectClosingBracket, sexpdata.ExpectNothing):
+    except (ValueError, AssertionError, IndexError, *SEXP_ERRORS):
         raise KeyFileError(f"{path}: no S-expressions") from None
     return items
 
--- a/micahold/membership/traffic.py
+++ b/micahold/membership/traffic.py
@@ -53,7 +53,7 @@
     """``rate`` may change in service; what has left counts under the new one."""
 
     def __init__(self, rate: int) -> None:
-        self.rate = rate
+        self.rate, self.peak = rate, 0  # the most bytes that any window held
         self._datagrams, self._exchanges = Window(), Window()
 
     def _window(self, level: Level) -> Window:
@@ -70,6 +70,7 @@
         if size > self.room(now, level):
             return False
         self._window(level).add(now, size)
+        self.peak = max(self.peak, self._datagrams.at(now) + self._exchanges.at(now))
         return True
 
 
--- a/micahold/program/operator_file.py
+++ b/micahold/program/operator_file.py
@@ -19,6 +19,7 @@
 
 MOST_BYTES = 1 << 20
 MISSING = object()
+SEXP_ERRORS = (sexpdata.ExpectNothing, sexpdata.ExpectSExp, sexpdata.ExpectClosingBracket)
 
 
 class OperatorFileError(Exception):
@@ -40,6 +41,8 @@
     def show(self) -> str:
         if self.items is not None:
             return f"({self.items[0].show()} ...)" if self.items else "()"
+        if isinstance(self.value, sexpdata.Symbol):
+            return str(self.value.value())
         return f'"{self.value}"' if isinstance(self.value, str) else str(self.value)
 
 
@@ -123,7 +126,7 @@
     try:
         values = sexpdata.parse(text, true=None, false=None, nil=None)
         return [_join(value, where) for value, where in zip(values, lines_of(text), strict=True)]
-    except (ValueError, TypeError, AssertionError, IndexError, RecursionError):
+    except (*SEXP_ERRORS, ValueError, TypeError, AssertionError, IndexError, RecursionError):
         raise OperatorFileError([f"{name}:1: found text that is no S-expression"]) from None
 
 
--- a/tests/test_membership_cores.py
+++ b/tests/test_membership_cores.py
@@ -135,11 +135,14 @@
     for number in range(30):
         one = signed(f"m{number}", wire.Kind.RECORD, wire.Record(1, "h", 1))
         rumours.add(("record", one.origin), one, Level.OTHERS)
-    first = rumours.take(1000, 100, 12)
-    assert [one.origin for one in first][:2] == ["m29", "m28"]
+    assert [one.signed.origin for one in rumours.pick(1000, 12)][:2] == ["m29", "m28"]
+    assert [one.signed.origin for one in rumours.pick(1000, 12, to="m29")][:2] == ["m28", "m27"]
     for _ in range(500):
-        for one in rumours.take(1000, 100, 12):
-            sent[one.origin] = sent.get(one.origin, 0) + 1
+        picked = rumours.pick(1000, 12)
+        rumours.sent(picked, 100)
+        for rumour in picked:
+            origin = rumour.signed.origin
+            sent[origin] = sent.get(origin, 0) + 1
     assert not len(rumours)
     assert max(sent.values()) <= most_sent(100) == 12
     assert most_sent(1000) <= 2 * most_sent(99)
@@ -149,8 +152,8 @@
     rumours = Rumours()
     for origin, level in (("other", Level.OTHERS), ("own", Level.OWN), ("refuted", Level.REFUTE)):
         rumours.add(origin, signed(origin, wire.Kind.RECORD, wire.Record(1, "h", 1)), level)
-    assert [one.origin for one in rumours.take(1000, 9, 9)] == ["refuted", "own", "other"]
-    assert [one.origin for one in rumours.take(1000, 9, 9, Level.REFUTE)] == ["refuted"]
+    assert [one.signed.origin for one in rumours.pick(1000, 9)] == ["refuted", "own", "other"]
+    assert [one.signed.origin for one in rumours.pick(1000, 9, floor=Level.REFUTE)] == ["refuted"]
 
 
 def test_rumours_are_bounded_and_what_is_heard_again_stops_sooner() -> None:
