--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -24,10 +24,7 @@
 BUSY, BUSY_FRESH_S = 0.95, 4.0  # busy share that is pressure, for so long or until a better report
 SHARE_STEP, SHARE_LEAST = 0.1, 0.5  # how our share of an engine follows pressure; the least of the even part
 SHUN_ABOVE, FAIL_WEIGHT, CUT_WEIGHT = 0.25, 0.2, 0.9  # failing that quarantines; by an error, a cut
-SHUN_DOUBTED, WELL_S = (
-    0.15,
-    1.0,
-)  # quarantines where others call it failing, if no answer was good for so long
+SHUN_DOUBTED, WELL_S = 0.1, 1.0  # quarantines where others doubt it, without a good answer for so long
 STRAINED, STRAIN_BOUND = 0.5, 0.5  # part without an answer that is strain; part of the bound kept then
 PAUSE_S, PAUSE_MOST_S = 0.25, 2.0  # half the first, and the longest pause from a full engine
 PATIENCE, TRUST_S = (4.0, 0.25)  # silence counts after this many times the expected time, and this beyond it
--- a/micahold/membership/group.py
+++ b/micahold/membership/group.py
@@ -16,7 +16,7 @@
 
 from micahold.membership import wire
 from micahold.membership.drains import EarlyDrains
-from micahold.membership.evidence import OLD_S, Evidence, Voice
+from micahold.membership.evidence import OLD_S, Evidence, Voice, Word
 from micahold.membership.health import LocalHealth, Stall
 from micahold.membership.keyring import Keyring, Signer
 from micahold.membership.prober import Probe, Prober, Relay
@@ -31,7 +31,7 @@
 
 GOSSIP_PART = 0.2  # of a period: how often rumours go out besides the probes, while there are any
 GOSSIP_FANOUT = 3
-TESTIFY_S = 1.0
+TESTIFY_S, SOON_S = 1.0, 0.05  # between testimonies, and before one that has a new bad word
 TRY_DEAD_PERIODS, SEED_PERIODS = 5, 10  # how often a dead member is tried, and seeds while nobody lives
 EXCHANGE_LEAST, EXCHANGE_MOST = 2.0, 30.0  # periods between full exchanges: after a difference, and at rest
 WAIT_FOR_ROOM_S = 0.5  # a message that finds no room in the traffic limit waits so long at most
@@ -113,6 +113,7 @@
         self.engines: set[str] = set()
         self.verdict = Verdict(frozenset(), frozenset(), Size(options.told, options.told), now)
         self.leaving = False
+        self._testified: set[str] = set()  # engines of the last testimony
         self._checked: OrderedDict[tuple[str, str, bytes], bytes] = OrderedDict()
         self._waiting: deque[Waiting] = deque()
         self._exchange_pause = EXCHANGE_LEAST
@@ -592,6 +593,8 @@
         """One attempt of this gateway's own on an engine."""
         if engine in self.engines:
             self.evidence.sight.note(now, engine, failed)
+            if failed and engine not in self._testified and self.evidence.sight.says(now, engine) is Word.BAD:
+                self._testify_at = min(self._testify_at, now + SOON_S)
 
     def listed(self, now: float, up: set[str], draining: set[str]) -> None:
         """This gateway's own engine list: those that are up, and those that drain."""
@@ -608,7 +611,9 @@
     def _testify(self, now: float) -> None:
         rows = self.evidence.own_rows(now, self.engines, self.roster.size())
         if not rows:
+            self._testified = set()
             return
+        self._testified = {one[0] for one in rows}
         self.testimonies += 1
         at, window = int(now * 1000), 5000
         testimony = wire.Testimony(self.run, self.testimonies, at, window, rows)
@@ -617,6 +622,7 @@
             testimony = wire.Testimony(self.run, self.testimonies, at, window, rows)
         signed = self._sign(now, Kind.TESTIMONY, testimony)
         self.rumours.add(("testimony", self.options.name), signed, Level.OWN)
+        self._gossip_at = now
 
     def _judge(self, now: float) -> None:
         self._verdict_at = now + VERDICT_S
--- a/micahold/program/operator.py
+++ b/micahold/program/operator.py
@@ -13,6 +13,7 @@
 from micahold.program.operator_file import OperatorFileError, changes, read_file
 from micahold.program.operator_settings import Gossip as GossipSettings
 from micahold.program.operator_settings import Operator as OperatorSettings
+from micahold.program.structured import logger
 
 
 def read_all(path: str) -> tuple[OperatorSettings, Hand | None, Keyring | None]:
@@ -60,7 +61,7 @@
                 now,
                 group,
                 self.settings.gossip.listen,
-                log,
+                logger(log, part="gossip").info,
                 front.exchange.tell,
                 self.settings.gossip.hearsay,
             )
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -21,6 +21,7 @@
     reference,
 )
 from micahold.program.operator_settings import Gossip, Operator
+from micahold.program.structured import logger
 
 ROOT = Path(__file__).parent.parent
 LEAST = '(gossip (listen "127.0.0.1:7946") (keys "a.keys") (members "m.keys") {more})'
@@ -159,6 +160,21 @@
         units.duration(word)
 
 
+def test_lines_of_subsystems_go_to_the_fronts_writer_with_what_is_bound() -> None:
+    lines: list[tuple[str, dict[str, object]]] = []
+
+    def log(event: str, **fields: object) -> None:
+        lines.append((event, fields))
+
+    bound = logger(log, part="gossip")
+    bound.info("member", name="a")
+    bound.bind(run=3).warning("late", s=0.5)
+    assert lines == [
+        ("member", {"part": "gossip", "name": "a"}),
+        ("late", {"part": "gossip", "run": 3, "s": 0.5, "level": "warning"}),
+    ]
+
+
 def test_check_tells_all_and_answers_with_its_exit_code(tmp_path: Path) -> None:
     good, bad = tmp_path / "good", tmp_path / "bad"
     good.write_text(LEAST.format(more=""))
