Loads on well engines are no longer called off as silent: engines' news count as signs

Ruled out by the same logs: quarantine (engines answered others), Places (no refusal of a load at arrival but of clients' last tries with 0.24 s left), the ration, placement.

Change: engines answer each 250 ms that they have a query still (202); the front threw that away. Where no notes come, silence counts from what runs of the class take (Calibration.patience), estimate and spread allowed for.

--- a/micahold/interface.py
+++ b/micahold/interface.py
@@ -39,6 +39,15 @@
     MOOT = "moot"
 
 
+class Reason(Enum):
+    """Why a query was given up; for counters and the log."""
+
+    PLACES = "places"  # no place open for its class
+    REACH = "reach"  # it can't end before its deadline even at an engine's best
+    WAIT = "wait"  # held until its time was up: no engine had room, or none may run it
+    TRIES = "tries"  # its attempts brought nothing, and no other is allowed or in time
+
+
 class EngineState(Enum):
     """What the engine list says of an engine."""
 
@@ -62,6 +71,7 @@
     PROGRESS = 1
     SPILLING = 2
     WAITING = 3
+    ALIVE = 4  # the engine has it still, and says no more
 
 
 @dataclass(slots=True, frozen=True)
@@ -257,7 +267,7 @@
     attempt: int
     engine: str
     kind: NoteKind
-    value: float
+    value: float = 0.0
 
 
 @dataclass(slots=True)
@@ -374,6 +384,7 @@
 
     query: int
     retry_after: float = 0.0
+    reason: Reason = field(default=Reason.WAIT, compare=False, repr=False)
 
 
 @dataclass(slots=True)
@@ -381,6 +392,7 @@
     """Final answer: failed, promising nothing."""
 
     query: int
+    reason: Reason = field(default=Reason.WAIT, compare=False, repr=False)
 
 
 @dataclass(slots=True)
--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -77,6 +77,11 @@
         best = self.best[query.asked.query_class]
         return query.cost * (math.exp(best) if best < math.inf else 1.0) / query.kind.threads
 
+    def patience(self, query: Query) -> float:
+        """Time that runs like it take at most as a rule; estimates are rough, and off by class."""
+        index = query.asked.query_class
+        return max(self.usual[index], query.expected * math.exp(2 * self.spread[index].mean))
+
     def learn(self, query: Query, elapsed: float, engine_pace: float) -> None:
         """One run that ended well; the engine's own pace is taken out, so a slow one inflates no price."""
         index, seconds = query.asked.query_class, elapsed * query.kind.threads
@@ -210,7 +215,7 @@
         # What is out is out because it is long: the same crowd shows about twice as strong as in ended runs.
         self.aged = math.log(max(waited / best / 2, 1.0)) if best > 0 else 0.0
         pace = PATIENCE * math.exp(max(0.0, self.slow))
-        dues = [(2 * note_period or pace * one.expected + TRUST_S, one) for one in self.out.values()]
+        dues = [(2 * note_period or pace * one.patience + TRUST_S, one) for one in self.out.values()]
         self.silent = any(now - max(one.sent, self.sign) > due for due, one in dues)
 
 
@@ -477,13 +482,16 @@
         # Where places run out, what comes is turned away unseen: who earns little with them leaves some free.
         earned, usual = (one.change(self.now, 1) for one in (self.places[event.query_class], self.all_places))
         most = self.settings.limits.max_open * (PLACES + (1 - PLACES) * min(1.0, earned / max(usual, 1e-9)))
-        self.give_up(query) if 0 < most < len(self.queries) else self.hold(query)
+        full = 0 < most < len(self.queries)
+        self.give_up(query, api.Reason.PLACES) if full else self.hold(query)
 
     def hold(self, query: Query) -> None:
         """Hold a query until its deadline less its class's usual time; each time anew, or it is lost."""
         doubt = math.exp(-2 * self.calibration.spread[query.asked.query_class].mean)
         if self.now + query.expected * doubt > query.asked.deadline:
-            return self.give_up(query)  # out of reach even if told too high: it would stand in the way
+            return self.give_up(
+                query, api.Reason.REACH
+            )  # out of reach even if told too high: it would stand in the way
         usual = max(self.calibration.usual[query.asked.query_class], 2 * TICK_S)
         heappush(self.waits, (query.asked.deadline - usual, next(self.release.serial), query))
         if self.order.may_run(query, self.now):
@@ -510,7 +518,7 @@
             on_time = 1.0 if self.now <= query.aim else query.kind.late_share
             self.over(query, query.kind.worth * on_time if event.outcome is api.Outcome.OK else 0.0)
         else:
-            self.hold(query) if self.may_try_again(query) else self.give_up(query)
+            self.hold(query) if self.may_try_again(query) else self.give_up(query, api.Reason.TRIES)
 
     def judge(self, query: Query, engine: EngineView, event: api.AttemptEnded) -> None:
         outcome, report = event.outcome, event.report or api.LoadReport()
@@ -576,7 +584,7 @@
         able = len(query.may_have_run) < MOST_RUNS and query.attempts < self.settings.limits.max_attempts
         return able and self.now + query.expected < query.asked.deadline
 
-    def give_up(self, query: Query) -> None:
+    def give_up(self, query: Query, why: api.Reason) -> None:
         """The final answer, at once: refused where the client may safely try again, else failed."""
         kind, limits, account = query.kind, self.settings.limits, self.account(query)
         dropped_by_all = kind.effect is api.Effect.KEYED and kind.dedup_scope is api.DedupScope.ALL
@@ -584,7 +592,8 @@
         wait *= 1 + HINT_JITTER * self.random.random()  # when the debt is paid; the refused come back apart
         hint = min(limits.max_retry_after, wait) if limits.retry_hints else 0.0
         harmless = kind.effect is api.Effect.SAFE or dropped_by_all or not query.may_have_run
-        self.actions.append(api.Refuse(query.asked.query, hint) if harmless else api.Fail(query.asked.query))
+        asked = query.asked.query
+        self.actions.append(api.Refuse(asked, hint, why) if harmless else api.Fail(asked, why))
         self.over(query)
 
     def account(self, query: Query) -> Account:
@@ -611,7 +620,7 @@
                 return
             late, owing, _, _, line_id, query = min(heads, key=lambda one: one[:5])
             if query.attempts > 0 and not self.may_try_again(query):
-                self.give_up(query)
+                self.give_up(query, api.Reason.TRIES)
                 continue
             allows = self.retries.allows(self.now)
             may_fail = allows and query.kind.effect is api.Effect.SAFE
@@ -633,6 +642,7 @@
             account.level, account.use = account.level - query.price, account.use + query.price
         query.engine, query.sent, query.cancelled = engine.entry.engine, self.now, False
         query.attempts, query.expected = query.attempts + 1, self.calibration.expected(query)
+        query.patience = self.calibration.patience(query)
         query.tried.add(engine.entry.engine)
         engine.sign = engine.sign if engine.out else self.now
         self.router.active[engine.entry.engine] = engine
@@ -668,4 +678,4 @@
         """After each release: a query may arrive with less time left than one tick."""
         while self.waits and (self.waits[0][0] <= self.now or not self.waits[0][2].waiting()):
             if (query := heappop(self.waits)[2]).waiting():
-                self.give_up(query)
+                self.give_up(query, api.Reason.WAIT)
--- a/micahold/records.py
+++ b/micahold/records.py
@@ -17,6 +17,7 @@
     cost: float  # told, or learned
     price: float = 0.0
     expected: float = 0.0  # time on an engine at its best
+    patience: float = 0.0  # time that runs like it take as a rule; silence counts beyond multiples of it
     aim: float = 0.0  # when its full worth ends
     attempts: int = 0
     engine: str | None = None  # where an attempt is out
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -67,8 +67,9 @@
         counters: Counters,
         now: Callable[[], float],
         timers: Timers,
+        alive: Callable[[], None] = lambda: None,
     ) -> None:
-        self.order, self.pools, self.directory = order, pools, directory
+        self.order, self.pools, self.directory, self.alive = order, pools, directory, alive
         self.counters, self.now, self.timers = counters, now, timers
         self.done: Deferred[End] = Deferred()
         self.over = False
@@ -141,6 +142,7 @@
         was_known, self._is_known, self._heard = self._is_known, True, now
         untouched = answer.headers.get(UNTOUCHED) == b"1"
         if answer.status == 202:
+            self.alive()
             # Not at once: the connection that was just used has to rest, and another need not be made.
             pause = max(self._asked + ASK_PACE_S - now, 2 * REST_S)
             self._later = self.pools.clock.callLater(pause, self._get, 0)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -178,6 +178,25 @@
     assert world.exchange.unanswered == 0
 
 
+def test_why_a_query_was_given_up_is_counted_by_class_and_logged() -> None:
+    """A class that was hardly served showed in no counter."""
+    world = World()
+    ticket, _ = world.ask()
+    world.want(api.Refuse(ticket, 0.5, api.Reason.TRIES))
+    assert world.counters.snapshot()["given_up_lookup_tries"] == 1
+    assert [fields["why"] for event, fields in world.logged if event == "query"] == ["tries"]
+
+
+def test_an_answer_that_a_query_is_not_yet_over_is_a_sign_of_life() -> None:
+    """Good runs were called off as silent, though their engines had told of them all the time."""
+    world = World()
+    ticket, _ = world.ask()
+    world.want(api.Send(ticket, "a"))
+    world.links[0].up().say(answer(202))
+    world.turn()
+    assert world.last() == api.AttemptNote(ticket, 0, "a", api.NoteKind.ALIVE)
+
+
 def test_an_error_is_told_and_the_query_stays_open() -> None:
     world = World()
     ticket, client = world.ask()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -112,6 +112,29 @@
     assert silent in {gateway.engine_of[one] for one in crowd(gateway, number=10)}
 
 
+def test_a_sign_of_life_keeps_an_attempt_from_being_called_off_as_silent() -> None:
+    """Engines tell all the time that they have a query still; it was not passed on: good runs were ended."""
+    for alive, called_off in ((True, False), (False, True)):
+        gateway = Gateway(number=2, note_period=0.6)
+        query, _ = gateway.ask(LOOKUP, cost=0.01)
+        seen: list[api.Action] = []
+        for _ in range(30):
+            seen += gateway.tick()
+            if alive:
+                engine = gateway.engine_of[query]
+                gateway.tell(api.AttemptNote(query, 0, engine, api.NoteKind.ALIVE))
+        assert (api.Cancel(query, 0) in seen) is called_off
+
+
+def test_silence_counts_only_past_what_runs_of_the_class_take() -> None:
+    """Estimates may be too low by class: silence was counted from the told cost."""
+    gateway = Gateway(number=2)
+    query, _ = gateway.ask(REPORT, cost=0.01)
+    usual = gateway.controller.calibration.usual[REPORT]
+    assert api.Cancel(query, 0) not in gateway.tick(times=int(3 * usual / 0.05))
+    assert api.Cancel(query, 0) in gateway.tick(times=int(3 * usual / 0.05))
+
+
 def test_what_cannot_end_before_its_deadline_is_refused_at_once() -> None:
     """Queries at many times the usual cost ran until their deadline and ended nothing but others' time."""
     gateway = Gateway()
