Only runs of classes not yet learnt go on while their engine has them; others move as before

Change: ALIVE is kept by query and keeps only runs of a class that this gateway has not learnt (Calibration.learnt) from being called off; an engine with a learnt class's query past its patience is passed over and the query moved, as before. Patience is the estimate times twice the spread; where nothing is learnt and no news come, what the class usually takes.

--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -77,10 +77,14 @@
         best = self.best[query.asked.query_class]
         return query.cost * (math.exp(best) if best < math.inf else 1.0) / query.kind.threads
 
+    def learnt(self, query: Query) -> bool:
+        return self.best[query.asked.query_class] < math.inf
+
     def patience(self, query: Query) -> float:
-        """Time that runs like it take at most as a rule; estimates are rough, and off by class."""
+        """Time that runs like it take at most; estimates are rough, and off by class until learnt."""
         index = query.asked.query_class
-        return max(self.usual[index], query.expected * math.exp(2 * self.spread[index].mean))
+        most = query.expected * math.exp(2 * self.spread[index].mean)
+        return most if self.learnt(query) else max(self.usual[index], most)
 
     def learn(self, query: Query, elapsed: float, engine_pace: float) -> None:
         """One run that ended well; the engine's own pace is taken out, so a slow one inflates no price."""
@@ -214,9 +218,13 @@
         best = sum(query.expected for query in self.out.values())
         # What is out is out because it is long: the same crowd shows about twice as strong as in ended runs.
         self.aged = math.log(max(waited / best / 2, 1.0)) if best > 0 else 0.0
+        # Nobody knows how long a class takes that is not learnt: while the engine has its runs, they go on.
         pace = PATIENCE * math.exp(max(0.0, self.slow))
         dues = [(2 * note_period or pace * one.patience + TRUST_S, one) for one in self.out.values()]
-        self.silent = any(now - max(one.sent, self.sign) > due for due, one in dues)
+        self.silent = any(
+            now - max(one.sent, self.sign) > due and (one.learnt or now > one.alive + PATIENCE * TRUST_S)
+            for due, one in dues
+        )
 
 
 Views = list[EngineView]
@@ -552,6 +560,9 @@
         if query is None or query.engine is None or query.attempts != event.attempt + 1:
             return
         engine, elapsed = self.router.engines[query.engine], self.now - query.sent
+        if event.kind is api.NoteKind.ALIVE:
+            query.alive = self.now
+            return
         engine.sign = self.now
         to_go = elapsed / max(event.value, 1e-3) - elapsed
         out_of_reach = to_go > RUNAWAY * query.expected * math.exp(max(0.0, engine.slow))
@@ -642,7 +653,7 @@
             account.level, account.use = account.level - query.price, account.use + query.price
         query.engine, query.sent, query.cancelled = engine.entry.engine, self.now, False
         query.attempts, query.expected = query.attempts + 1, self.calibration.expected(query)
-        query.patience = self.calibration.patience(query)
+        query.patience, query.learnt = self.calibration.patience(query), self.calibration.learnt(query)
         query.tried.add(engine.entry.engine)
         engine.sign = engine.sign if engine.out else self.now
         self.router.active[engine.entry.engine] = engine
--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from enum import Enum
 from typing import Any, Protocol
 
@@ -18,7 +17,7 @@
 from micahold.protocol.errors import ProtocolError
 from micahold.routing.exchange import Exchange
 from micahold.settings import FormatError
-from micahold.transport.calls import ANSWER_S, EnginePools
+from micahold.transport.calls import EnginePools
 from micahold.transport.channel import CommandChannel
 from micahold.transport.clients import ClientSessions
 from micahold.transport.directory import EngineDirectory
@@ -81,8 +80,7 @@
         self.configuration, self.clock, self.log, self.counters = configuration, clock, log, counters
         self._stop = stop
         self.phase = Phase.CONFIGURED
-        # Engines say within ANSWER_S that they have a query still: notes, in the terms of the decisions.
-        settings = replace(configuration.settings, note_period=ANSWER_S)
+        settings = configuration.settings
         self.directory = EngineDirectory()
         self.pools = EnginePools(
             clock,
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from micahold import interface as api
 from micahold.logic import MOST_RUNS
 from tests import build
@@ -112,18 +114,21 @@
     assert silent in {gateway.engine_of[one] for one in crowd(gateway, number=10)}
 
 
-def test_a_sign_of_life_keeps_an_attempt_from_being_called_off_as_silent() -> None:
-    """Engines tell all the time that they have a query still; it was not passed on: good runs were ended."""
-    for alive, called_off in ((True, False), (False, True)):
-        gateway = Gateway(number=2, note_period=0.6)
-        query, _ = gateway.ask(LOOKUP, cost=0.01)
-        seen: list[api.Action] = []
-        for _ in range(30):
-            seen += gateway.tick()
-            if alive:
-                engine = gateway.engine_of[query]
-                gateway.tell(api.AttemptNote(query, 0, engine, api.NoteKind.ALIVE))
-        assert (api.Cancel(query, 0) in seen) is called_off
+@pytest.mark.parametrize("learnt", [True, False])
+def test_a_run_whose_engine_has_it_is_called_off_only_where_its_class_is_learnt(learnt: bool) -> None:
+    """Engines tell all the time that they have a query still; runs of a class seldom seen were called off.
+
+    Where the class is known, an engine that has it and ends nothing is too slow: the query goes elsewhere.
+    """
+    gateway = Gateway(number=2)
+    for _ in range(20 if learnt else 0):
+        gateway.end(gateway.ask(REPORT, cost=0.4)[0], api.Outcome.OK, after=0.1)
+    query, _ = gateway.ask(REPORT, cost=0.4)
+    seen: list[api.Action] = []
+    for _ in range(40):
+        gateway.tell(api.AttemptNote(query, 0, gateway.engine_of[query], api.NoteKind.ALIVE))
+        seen += gateway.tick(after=0.25)
+    assert (api.Cancel(query, 0) in seen) is learnt
 
 
 def test_silence_counts_only_past_what_runs_of_the_class_take() -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -47,9 +47,8 @@
         self.asked, self.served, self.sends = Counter[int](), Counter[int](), Counter[int]()
         self.ended: list[tuple[float, int, bool]] = []  # when taken, class, served
         self.serial, self.coming = count(), list[tuple[float, int, Callable[[], None]]]()
-        period = 0.6 if self.news else 0.0
         base = build.settings(
-            gateways=self.gateways, classes=CLASSES, rules=RULES, note_period=period,
+            gateways=self.gateways, classes=CLASSES, rules=RULES,
             limits=replace(build.LIMITS, max_attempts=6),
         )  # fmt: skip
         self.nodes = [
--- a/tests/test_hearsay.py
+++ b/tests/test_hearsay.py
@@ -53,8 +53,8 @@
 
 
 # As they come from the module without hearsay; a change of these decisions has to be meant.
-BEFORE = ["01609c05fb148c29558936d7", "c839d4e723e45c49289d32b7", "6d625373ca0b4841bbf00891",
-          "62f2bc06ed5fc9629a154b5d"]  # fmt: skip
+BEFORE = ["0a613a7432254876a40e6dd6", "4e5fbdbc421d0ee9b9c76d37", "ace8e8b578ffab38a4932056",
+          "91338447ab9c9f5c0d2136c8"]  # fmt: skip
 
 
 @pytest.mark.parametrize(("seed", "digest"), list(enumerate(BEFORE, 1)))
