--- a/micahold/logic.py
+++ b/micahold/logic.py
@@ -80,12 +80,6 @@
     def learnt(self, query: Query) -> bool:
         return self.best[query.asked.query_class] < math.inf
 
-    def patience(self, query: Query) -> float:
-        """Time that runs like it take at most; estimates are rough, and off by class until learnt."""
-        index = query.asked.query_class
-        most = query.expected * math.exp(2 * self.spread[index].mean)
-        return most if self.learnt(query) else max(self.usual[index], most)
-
     def learn(self, query: Query, elapsed: float, engine_pace: float) -> None:
         """One run that ended well; the engine's own pace is taken out, so a slow one inflates no price."""
         index, seconds = query.asked.query_class, elapsed * query.kind.threads
@@ -220,7 +214,7 @@
         self.aged = math.log(max(waited / best / 2, 1.0)) if best > 0 else 0.0
         # Nobody knows how long a class takes that is not learnt: while the engine has its runs, they go on.
         pace = PATIENCE * math.exp(max(0.0, self.slow))
-        dues = [(2 * note_period or pace * one.patience + TRUST_S, one) for one in self.out.values()]
+        dues = [(2 * note_period or pace * one.expected + TRUST_S, one) for one in self.out.values()]
         self.silent = any(
             now - max(one.sent, self.sign) > due and (one.learnt or now > one.alive + PATIENCE * TRUST_S)
             for due, one in dues
@@ -653,7 +647,7 @@
             account.level, account.use = account.level - query.price, account.use + query.price
         query.engine, query.sent, query.cancelled = engine.entry.engine, self.now, False
         query.attempts, query.expected = query.attempts + 1, self.calibration.expected(query)
-        query.patience, query.learnt = self.calibration.patience(query), self.calibration.learnt(query)
+        query.learnt = self.calibration.learnt(query)
         query.tried.add(engine.entry.engine)
         engine.sign = engine.sign if engine.out else self.now
         self.router.active[engine.entry.engine] = engine
--- a/micahold/records.py
+++ b/micahold/records.py
@@ -18,7 +18,6 @@
     cost: float  # told, or learned
     price: float = 0.0
     expected: float = 0.0  # time on an engine at its best
-    patience: float = 0.0  # time that runs like it take as a rule; silence counts beyond multiples of it
     learnt: bool = False  # how long its class takes was known when it was sent
     alive: float = -inf  # when its engine last said that it has it
     aim: float = 0.0  # when its full worth ends
