--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,6 +13,9 @@
 from itertools import count
 from random import Random
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from micahold import interface as api
 from micahold.logic import Controller
 from tests import build
@@ -22,6 +25,7 @@
 CLASSES = build.change_class(LOAD, in_order=False)
 WORK = {LOOKUP: 0.25, REPORT: 2.0, LOAD: 5.0}  # thread-seconds of a query, truly
 PACE = {LOOKUP: 0.8, REPORT: 0.14, LOAD: 0.06}  # part of the traffic
+SERVED_AGAIN_S = 5.0  # the bound: so long after a failure every class with a well engine is served again
 NEWS_S = 0.25  # engines that are well tell at least so often that they have a query still
 
 
@@ -177,3 +181,40 @@
     for kind in (LOOKUP, REPORT, LOAD):
         assert fleet.share(kind, until=20.0) > 0.97
     assert fleet.sends[LOAD] < 1.1 * fleet.asked[LOAD]
+
+
+def cut(number: int, engines: int) -> frozenset[str]:
+    return frozenset(f"e{one}" for one in range(0, engines, max(1, engines // number)))
+
+
+def test_after_a_cut_with_lost_answers_every_class_is_served_again_within_the_bound() -> None:
+    """What was learnt in the cut kept a class out after it, where few of its queries come to learn better."""
+    fleet = Fleet(
+        told={LOAD: 1 / 6, REPORT: 1 / 4}, news=True, cut=cut(8, 40), cut_at=8.0, well_at=14.0, lossy=0.1
+    ).play(42.0)
+    assert fleet.share(LOOKUP, 8.0, 14.0) > 0.5
+    for kind in (LOOKUP, REPORT, LOAD):
+        assert fleet.share(kind, since=14.0 + SERVED_AGAIN_S, until=24.0) > 0.97
+
+
+@settings(max_examples=12)
+@given(
+    seed=st.integers(0, 2**16),
+    told=st.tuples(st.floats(0.1, 3.0), st.floats(0.1, 3.0)),
+    engines=st.integers(4, 16),
+    part=st.floats(0.0, 0.6),
+    lossy=st.floats(0.0, 0.5),
+    length=st.floats(1.0, 8.0),
+)
+def test_no_history_of_failures_keeps_a_class_out_for_longer_than_the_bound(
+    seed: int, told: tuple[float, float], engines: int, part: float, lossy: float, length: float
+) -> None:
+    """After any cut, with any estimates: each class that has well engines is served again."""
+    fleet = Fleet(
+        gateways=20, engines=engines, rate=1.0, news=True, seed=seed,
+        told={REPORT: told[0], LOAD: told[1]}, cut=cut(max(1, int(engines * part)), engines),
+        cut_at=4.0, well_at=4.0 + length, lossy=lossy,
+    ).play(50.0)  # fmt: skip
+    after = fleet.well_at + SERVED_AGAIN_S
+    for kind in (LOOKUP, REPORT, LOAD):
+        assert fleet.share(kind, since=after, until=29.0) > 0.9
