Log: each attempt's course, engine states and closed sessions, with the monotonic time

Change: attempt_sent, attempt_contact_lost, attempt_aborting, attempt_delete_answered and attempt_lease_lapsed, each with id, attempt and engine; engine for each change of state the list tells; session_closed with its reason; mono on every line; counters attempts_lease_lapsed, engines_STATE and engine_connections_lost_in_call. One line an event. Test: the course of an aborted attempt is read back from the log; it failed before for want of the lines.

--- a/micahold/program/log.py
+++ b/micahold/program/log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -16,12 +17,20 @@
 class Log:
     """Buffers lines and writes them without blocking; lines that exceed the full buffer are dropped.
 
-    Dropped lines are counted as ``log_lines_lost``. Times in lines come from ``now``, in Unix seconds.
+    Dropped lines are counted as ``log_lines_lost``. Each line has ``ts`` from ``now``, in Unix seconds, and
+    ``mono`` from ``monotonic``, in seconds of the clock that all time limits are kept by.
     """
 
-    def __init__(self, descriptor: int, now: Callable[[], float], counters: Counters) -> None:
+    def __init__(
+        self,
+        descriptor: int,
+        now: Callable[[], float],
+        counters: Counters,
+        monotonic: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._descriptor = descriptor
         self._now = now
+        self._monotonic = monotonic
         self._counters = counters
         self._buffer = bytearray()
         self._schedule_flush: Callable[[], None] | None = None
@@ -36,7 +45,8 @@
 
     def __call__(self, event: str, **fields: Any) -> None:
         """Logs ``event`` with ``fields``; values that JSON does not have are written as their ``repr``."""
-        line = orjson.dumps({"ts": round(self._now(), 4), "event": event, **fields}, default=repr) + b"\n"
+        times = {"ts": round(self._now(), 4), "mono": round(self._monotonic(), 4)}
+        line = orjson.dumps({**times, "event": event, **fields}, default=repr) + b"\n"
         if len(self._buffer) + len(line) > MAX_BUFFERED_BYTES:
             self._counters.add("log_lines_lost")
             return
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from math import inf
 from typing import Any, Protocol
 
@@ -199,12 +200,26 @@
         for entry in list_event.update.entries:
             if entry.state is api.EngineState.GONE:
                 # Engine ids are not reused: keeping entries of engines that have gone would leak memory.
-                self._engine_entries.pop(entry.engine, None)
+                previous = self._engine_entries.pop(entry.engine, None)
             else:
+                previous = self._engine_entries.get(entry.engine)
                 self._engine_entries[entry.engine] = entry
+            if list_event.update.kind is api.ListKind.CHANGES:
+                self._log_engine_state(entry, previous, list_event.cursor)
         self.counters.add("list_updates")
         self._queue_event(list_event.update)
 
+    def _log_engine_state(
+        self, entry: api.EngineEntry, previous: api.EngineEntry | None, cursor: int
+    ) -> None:
+        """Logs a change of an engine's state, with the number of the list event that told it."""
+        before = previous.state if previous is not None else api.EngineState.GONE
+        if entry.state is not before:
+            self.counters.add(f"engines_{entry.state.value}")
+            self.log(
+                "engine", engine=entry.engine, before=before.value, state=entry.state.value, cursor=cursor
+            )
+
     def _on_attempt_end(
         self, attempt_result: AttemptResult, number: int, attempt: int, engine: str, sent_at: float
     ) -> None:
@@ -337,7 +352,10 @@
         def on_alive() -> None:
             self._queue_event(api.AttemptStatus(number, index, engine, api.AttemptStatusKind.ALIVE))
 
-        attempt = Attempt(request, self.pools, self.directory, self.counters, self.now, self.timers, on_alive)
+        log = partial(self.log, id=open_query.request.id.decode(), attempt=index, engine=engine)
+        attempt = Attempt(
+            request, self.pools, self.directory, self.counters, self.now, self.timers, on_alive, log
+        )
         open_query.attempts.append(attempt)
         open_query.in_flight += 1
         self.counters.add("attempts_sent")
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -85,7 +85,10 @@
         now: Callable[[], float],
         timers: TimerQueue,
         on_alive: Callable[[], None] = lambda: None,
+        log: Callable[..., None] = lambda event, **fields: None,
     ) -> None:
+        """``log`` is called with the name and the fields of each change of the attempt's state."""
+        self.log = log
         self.request = request
         self.pools = pools
         self.directory = directory
@@ -151,7 +154,10 @@
         established.
         """
         self._last_request_at = self.now()
-        return self.directory.accepts_queries(self.request.engine)
+        accepts = self.directory.accepts_queries(self.request.engine)
+        if accepts:
+            self.log("attempt_sent", left=round(self.request.expires_at - self._last_request_at, 3))
+        return accepts
 
     def _record_request_time(self) -> bool:
         """Called right before a GET is sent; always allows it."""
@@ -301,6 +307,8 @@
             self._finish(Outcome.RESET)
         else:
             self.counters.add("engine_news_asked_again")
+            if not self._has_retried:
+                self.log("attempt_contact_lost", page=page, unreadable=unreadable)
             delay = MIN_POLL_INTERVAL_S if self._is_retry else 0.0
             self._has_retried = True
             self._delayed_request = self.pools.clock.callLater(
@@ -339,6 +347,7 @@
             self._finish(Outcome.NOT_STARTED if outcome is Outcome.TIMEOUT else outcome)
             return
         self._abort_outcome = outcome
+        self.log("attempt_aborting", outcome=outcome.value, last_call_s=round(now - self._last_request_at, 4))
         if self._current_call is not None and self._current_call is not post_call:
             self._current_call.abandon()
         if post_call is not None and not post_call.ended:
@@ -359,6 +368,7 @@
 
     def _handle_deleted(self, response: HttpResponse) -> None:
         self._cancel_timer(self._lease_timer)
+        self.log("attempt_delete_answered", status=response.status)
         self._finish_aborted()
 
     def _handle_delete_failure(self, failure: Failure) -> None:
@@ -381,6 +391,8 @@
         engine.
         """
         self._cancel_timer(self._delayed_request)
+        self.counters.add("attempts_lease_lapsed")
+        self.log("attempt_lease_lapsed", last_call_s=round(self.now() - self._last_request_at, 4))
         for call in (self._current_call, self._post_call):
             if call is not None:
                 call.abandon(abort_connection=True)
--- a/micahold/transport/calls.py
+++ b/micahold/transport/calls.py
@@ -209,6 +209,7 @@
             self.pools.connection_closed(self)
         if call is None:
             return
+        self.pools.counters.add("engine_connections_lost_in_call")
         call.connection = None
         response = self._reader.connection_closed() if reason.check(twisted_error.ConnectionDone) else None
         if response is not None:
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -194,6 +194,7 @@
             self.abort()
         elif self._has_sent_command and not self._reader.buffered_bytes:
             self.sessions.counters.add("client_sessions_idle")
+            self._log_close("idle")
             self._close()
         else:
             self.sessions.counters.add("client_sessions_silent")
@@ -212,11 +213,21 @@
         """Closes the session; the error is sent only if no query is open."""
         if self._closing:
             return
+        self._log_close(text)
         if self.query_number is None:
             self._sequence = self._sequence or 1
             self._send(error_payload(code, text))
         self._close()
 
+    def _log_close(self, reason: str) -> None:
+        """Logs why the front ends this session, and whether a query is open on it."""
+        self.sessions.log(
+            "session_closed",
+            connection=self.connection_id,
+            reason=reason,
+            query_open=self.query_number is not None,
+        )
+
     def _earliest_arrival(self) -> float:
         """The earliest time at which the data being read now can have arrived."""
         return float(self.sessions.clock.seconds()) - self.sessions.unread_for()
@@ -474,6 +485,7 @@
         if oldest is None:
             return False
         self.counters.add("client_sessions_gave_way")
+        self.log("session_closed", connection=oldest.connection_id, reason="evicted", query_open=False)
         oldest.close_if_idle()
         self.unregister(oldest)
         return True
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -452,3 +452,27 @@
     ended = harness.last_event()
     assert isinstance(ended, api.AttemptEnded) and ended.outcome is api.Outcome.TIMEOUT
     assert not ended.query_settled and not reply.answers  # the controller gives the answer
+
+
+def test_log_alone_tells_the_course_of_an_aborted_attempt_and_the_engine_states() -> None:
+    harness = ExchangeHarness()
+    number, _ = harness.submit()
+    harness.execute(api.Send(number, "a", 0.0))
+    harness.connections[0].accept().disconnect()
+    harness.advance()
+    harness.execute(api.Cancel(number, 0))
+    harness.exchange.apply_list_update(engine_list_event(7, full=False, a="draining"))
+    for _ in range(30):
+        harness.advance(0.1)
+    course = [
+        (event, fields["attempt"], fields["engine"]) for event, fields in harness.logged if "attempt" in event
+    ]
+    assert [event for event, _, _ in course] == [
+        "attempt_sent",
+        "attempt_contact_lost",
+        "attempt_aborting",
+        "attempt_lease_lapsed",
+        "attempt",
+    ]
+    assert {(attempt, engine) for _, attempt, engine in course} == {(0, "a")}
+    assert ("engine", {"engine": "a", "before": "up", "state": "draining", "cursor": 7}) in harness.logged
