--- a/micahold/laboratory/emulated_channel.py
+++ b/micahold/laboratory/emulated_channel.py
@@ -60,7 +60,7 @@
                 await writer.drain()
                 await asyncio.sleep(POLL_INTERVAL_S)
                 silent_s += POLL_INTERVAL_S
-        except (asyncio.IncompleteReadError, ConnectionError, OSError):
-            pass
+        except (asyncio.IncompleteReadError, ConnectionError, OSError, asyncio.CancelledError):
+            pass  # the end of the connection, or of the run
         finally:
             writer.close()
--- a/micahold/laboratory/emulated_engine.py
+++ b/micahold/laboratory/emulated_engine.py
@@ -154,8 +154,8 @@
                 while self.faults.stop_reading:
                     await asyncio.sleep(0.01)
                 await self._handle(request, writer)
-        except (ConnectionError, OSError):
-            pass
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            pass  # the end of the connection, or of the run
         finally:
             self._connections.pop(writer, None)
             writer.close()
