An attempt is over only by response, acknowledged DELETE or lapsed lease, never by lost contact

Cause: Attempt took what the engine still held as over, from the front's own earliest moment. In four places: _retry_get ended it 2 s after the last response and abort 2.05 s after the last send, while the engine counts from the end of a call it holds for 250 ms, with 50 ms tolerance; an engine listed as gone had no address, and the failed call ended it at once, with no DELETE; a refused connection counted as the engine's death where no other was up, which is what a draining engine looks like after one reset; any response ended a DELETE, a late copy of the answer before or noise as well. Change: QueryLease counts from the latest moment at which the engine may have begun; EngineListing keeps the connections of a listing that has ended while attempts there are not over, and none is made to an address that another process may have; only 204 acknowledges a DELETE. calls.py is split in three.

--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -17,9 +17,9 @@
 from micahold.protocol.errors import ProtocolError
 from micahold.routing.exchange import Exchange
 from micahold.settings import FormatError
-from micahold.transport.calls import EngineConnectionPools
 from micahold.transport.channel import CommandChannel
 from micahold.transport.clients import ClientSessions
+from micahold.transport.connection_pools import EngineConnectionPools
 from micahold.transport.directory import EngineDirectory
 
 LISTEN_BACKLOG = 1024
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -22,8 +22,8 @@
 from micahold.protocol.query_fields import ClientQuery
 from micahold.settings import decode_report
 from micahold.transport.attempts import Attempt, AttemptRequest, AttemptResult
-from micahold.transport.calls import EngineConnectionPools
 from micahold.transport.clients import QueryReply, UnusableQueryError
+from micahold.transport.connection_pools import EngineConnectionPools
 from micahold.transport.directory import EngineDirectory
 from micahold.transport.timers import TimerQueue
 
@@ -193,8 +193,8 @@
 
         The directory goes first, because calls look up an engine's address at the time they are written.
         """
-        for engine in self.directory.update(list_event):
-            self.pools.close_idle(engine)  # the engine has gone or has a new address
+        for listing in self.directory.update(list_event):
+            self.pools.close_ended(listing)
         if list_event.update.kind is not api.ListKind.CHANGES:
             self._engine_entries.clear()
         for entry in list_event.update.entries:
@@ -249,6 +249,7 @@
                 attempt=attempt,
                 engine=engine,
                 outcome=attempt_result.outcome.value,
+                over=attempt_result.evidence.value,
                 s=round(elapsed, 4),
             )
         self._remove_if_finished(number, open_query)
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -2,12 +2,17 @@
 
 An engine accepts a query with POST and answers 202 while the query runs. GET polls for the status and fetches
 further result pages; DELETE cancels the query.
+
+Another attempt of the query may start as soon as this one has ended. An attempt that was sent therefore ends
+only with a response that ends it on the engine, with an acknowledged DELETE, or after the lease has lapsed.
+No failure of a connection shows that the engine no longer runs the query.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -18,25 +23,21 @@
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.http_messages import HttpResponse, encode_request
 from micahold.protocol.mysql_results import ResultSetEncoder
-from micahold.transport.calls import (
-    REUSE_DELAY_S,
-    Call,
-    CallNotSentError,
-    ConnectError,
-    ConnectionBrokenError,
-    EngineConnectionPools,
-    UnreadableResponseError,
-)
-from micahold.transport.directory import EngineDirectory
+from micahold.transport.calls import Call, CallError, CallNotSentError, ConnectError, UnreadableResponseError
+from micahold.transport.connection_pools import EngineConnectionPools
+from micahold.transport.directory import EngineDirectory, EngineListing
+from micahold.transport.engine_connection import REUSE_DELAY_S
+from micahold.transport.query_lease import QueryLease
 from micahold.transport.timers import TimerQueue
 
-# An engine discards a query that has not been polled for this long.
-QUERY_LEASE_S = 2.0
+# A query that brings no usable response for this long is aborted: its engine is lost or cut off.
+CONTACT_TIMEOUT_S = 2.0
 # Bounds the poll rate when an engine answers 202 immediately instead of holding the request.
 MIN_POLL_INTERVAL_S = 0.05
 MAX_PAGES = 64
 # Unreadable responses of one attempt, each of which is requested again; one more aborts the attempt.
 MAX_UNREADABLE_RESPONSES = 8
+DELETE_ACKNOWLEDGED = 204
 # Header with value 1: the engine has not started the query.
 UNTOUCHED_HEADER = b"srv-untouched"
 PAGE_COUNT_HEADER = b"x-sheets"
@@ -44,6 +45,16 @@
 LOAD_HEADER = b"srv-load"
 
 
+class EndEvidence(Enum):
+    """Why an attempt counts as over on its engine. The values appear in the log."""
+
+    NEVER_SENT = "never_sent"
+    RESPONSE = "response"
+    DELETED = "deleted"
+    LEASE_LAPSED = "lease_lapsed"
+    DEADLINE = "deadline"  # the query's time is over: it may still run, and no other attempt can follow
+
+
 @dataclass(slots=True)
 class AttemptRequest:
     """The query to submit and its engine; times are on the clock of ``Attempt.now``.
@@ -71,6 +82,7 @@
     outcome: Outcome
     result_set: bytes | None = None
     load_report: bytes | None = None
+    evidence: EndEvidence = EndEvidence.RESPONSE
 
 
 class Attempt:
@@ -108,7 +120,9 @@
         self._pages_read = 0
         self._request_suffix = b""  # ends the request line and the headers of GET and DELETE requests
         self._last_request_at = 0.0
-        self._last_response_at = 0.0
+        self._last_contact_at = 0.0  # of the last usable response, or the start
+        self._listing: EngineListing | None = None
+        self._lease = QueryLease()
         self._known_to_engine = False  # a response has shown that the engine has this query
         self._unreadable_count = 0
         self._is_retry = False  # the current call is a repeated GET
@@ -123,6 +137,11 @@
         """Submits the query with POST and starts the expiry timer."""
         request = self.request
         now = self.now()
+        listing = self._listing = self.directory.listing(request.engine)
+        if listing is None:
+            self._finish(Outcome.NOT_STARTED, EndEvidence.NEVER_SENT)
+            return
+        self.pools.retain(listing)
         headers = [
             (b"Via-Id", request.query_id),
             (b"Via-Class", request.class_name),
@@ -130,50 +149,52 @@
         ]
         if request.token is not None:
             headers.append((b"Via-Token", request.token))
-        host = self._host()
+        host = b"%s:%d" % (listing.host.encode(), listing.port)
         self._request_suffix = b" HTTP/1.1\r\nHost: %s\r\n\r\n" % host
         message = encode_request(b"POST", b"/data", host, tuple(headers), request.statement)
         self._expiry_timer = self.timers.call_later(
             max(0.0, request.expires_at - now), self.abort, Outcome.TIMEOUT
         )
-        self._last_response_at = now
+        self._last_contact_at = now
         self._post_call = self._current_call = self.pools.call(
-            request.engine, message, now, self._check_accepts_queries
+            listing, message, now, self._check_accepts_queries
         )
         self._post_call.response.addCallbacks(self._handle_status, self._handle_post_failure)
 
-    def _host(self) -> bytes:
-        """Value of the Host header."""
-        address = self.directory.address(self.request.engine)
-        return b"%s:%d" % (address[0].encode(), address[1]) if address else b"engine"
-
     def _check_accepts_queries(self) -> bool:
         """Whether to send the POST.
 
         Called right before the first byte, since the engine list may have changed while a connection was
         established.
         """
-        self._last_request_at = self.now()
-        accepts = self.directory.accepts_queries(self.request.engine)
+        assert self._listing is not None
+        accepts = self.directory.accepts_queries(self._listing)
         if accepts:
+            self._record_request_time()
             self.log("attempt_sent", left=round(self.request.expires_at - self._last_request_at, 3))
         return accepts
 
     def _record_request_time(self) -> bool:
-        """Called right before a GET is sent; always allows it."""
+        """Called right before a request is written that may renew the lease; always allows it."""
         self._last_request_at = self.now()
+        self._lease.call_written(self._last_request_at)
         return True
 
+    def _record_response(self) -> None:
+        self._last_contact_at = self.now()
+        self._lease.response_received(self._last_contact_at)
+
     def _send_get(self, page: int, new_connection: bool = False, is_retry: bool = False) -> None:
         """Polls for the status (page 0) or fetches a further page."""
         if self.ended or self._abort_outcome is not None:
             return
+        assert self._listing is not None
         message = b"GET %s/%d%s" % (self._path, page, self._request_suffix)
         self._is_retry = is_retry
-        due_at = self._last_request_at + QUERY_LEASE_S
+        due_at = self._last_request_at + CONTACT_TIMEOUT_S
         # A page carries its number, so a duplicate of an earlier response can't be mistaken for it.
         self._current_call = self.pools.call(
-            self.request.engine,
+            self._listing,
             message,
             due_at,
             self._record_request_time,
@@ -187,10 +208,10 @@
 
     def _handle_status(self, response: HttpResponse) -> None:
         """Handles the response to the POST or to a status poll."""
-        now = self.now()
+        self._record_response()
+        now = self._last_contact_at
         was_known = self._known_to_engine
         self._known_to_engine = True
-        self._last_response_at = now
         untouched = response.headers.get(UNTOUCHED_HEADER) == b"1"
         if response.status == 202:
             self.on_alive()
@@ -207,21 +228,22 @@
             self._page_count = int(page_count)
             self._add_page(response)
         elif response.status == 503 and untouched:
-            self._finish(Outcome.FULL, response)
+            self._finish(Outcome.FULL, EndEvidence.RESPONSE, response)
         elif response.status == 504:
-            self._finish(Outcome.NOT_STARTED if untouched else Outcome.TIMEOUT, response)
+            outcome = Outcome.NOT_STARTED if untouched else Outcome.TIMEOUT
+            self._finish(outcome, EndEvidence.RESPONSE, response)
         elif not was_known and self._is_retry:
             # The POST was never answered and the engine does not have the query yet: it must not start it
             # later. This does not count against the engine: it responds, and resets affect any connection.
             self.abort(Outcome.CANCELLED)
         else:
-            self._finish(Outcome.ERROR, response)
+            self._finish(Outcome.ERROR, EndEvidence.RESPONSE, response)
 
     def _handle_page(self, response: HttpResponse) -> None:
         """Handles the response to the GET of a further page."""
-        self._last_response_at = self.now()
+        self._record_response()
         if response.status != 200:
-            self._finish(Outcome.ERROR, response)
+            self._finish(Outcome.ERROR, EndEvidence.RESPONSE, response)
         elif response.headers.get(PAGE_NUMBER_HEADER) != b"%d" % self._pages_read:
             self._handle_unreadable(self._pages_read)
         else:
@@ -242,7 +264,7 @@
         if self._pages_read < self._page_count:
             self._send_get(self._pages_read)
         else:
-            self._finish(Outcome.OK, self._first_page_response)
+            self._finish(Outcome.OK, EndEvidence.RESPONSE, self._first_page_response)
 
     def _handle_unreadable(self, page: int) -> None:
         """Handles a valid HTTP response whose headers or body can't be used."""
@@ -258,53 +280,41 @@
         off or missing.
         """
         if failure.check(CallNotSentError):
-            self._finish(Outcome.NOT_STARTED)
+            self._finish(Outcome.NOT_STARTED, EndEvidence.NEVER_SENT)
         elif failure.check(ConnectError):
-            self._finish(Outcome.CONNECT_FAILED)
-        elif failure.check(UnreadableResponseError, ConnectionBrokenError):
+            self._finish(Outcome.CONNECT_FAILED, EndEvidence.NEVER_SENT)
+        elif failure.check(CallError):
             self._retry_get(0, unreadable=failure.check(UnreadableResponseError) is not None)
         else:
-            self._finish(Outcome.RESET)
+            self.abort(Outcome.RESET)
             failure.raiseException()
 
     def _handle_get_failure(self, failure: Failure, page: int) -> None:
-        """Retries the GET unless the engine is gone."""
-        if self._engine_is_dead(failure) or not failure.check(
-            ConnectionBrokenError, ConnectError, UnreadableResponseError
-        ):
-            self._finish(Outcome.RESET)
-        else:
-            new_connection = not failure.check(ConnectError)
-            self._retry_get(
-                page,
-                unreadable=failure.check(UnreadableResponseError) is not None,
-                new_connection=new_connection,
-            )
-
-    def _engine_is_dead(self, failure: Failure) -> bool:
-        """Whether the engine refuses connections and none to it is established any more.
-
-        A refused connection alone proves nothing: an engine that is shutting down accepts no new connections
-        but still runs its queries, and another attempt would run the query a second time.
-        """
-        refused = failure.check(ConnectError) and getattr(failure.value, "refused", False)
-        return bool(refused) and not self.pools.has_established_connection(self.request.engine)
+        """Repeats the GET, on a new connection unless no new one could be made."""
+        if not failure.check(CallError):
+            self.abort(Outcome.RESET)
+            failure.raiseException()
+        self._retry_get(
+            page,
+            unreadable=failure.check(UnreadableResponseError) is not None,
+            new_connection=not failure.check(ConnectError, CallNotSentError),
+        )
 
     def _retry_get(self, page: int, unreadable: bool, new_connection: bool = True) -> None:
         """Requests the status or a page again, on a new connection by default.
 
-        Stops when the lease of the query has lapsed or after MAX_UNREADABLE_RESPONSES.
+        Aborts after ``CONTACT_TIMEOUT_S`` without a response or after MAX_UNREADABLE_RESPONSES.
         """
         if self.ended or self._abort_outcome is not None:
             return
         now = self.now()
         if unreadable:
-            self._last_response_at = now
+            self._record_response()
             self._unreadable_count += 1
         if self._unreadable_count > MAX_UNREADABLE_RESPONSES:
             self.abort(Outcome.ERROR)
-        elif now > self._last_response_at + QUERY_LEASE_S:
-            self._finish(Outcome.RESET)
+        elif now > self._last_contact_at + CONTACT_TIMEOUT_S:
+            self.abort(Outcome.RESET)
         else:
             self.counters.add("engine_news_asked_again")
             if not self._has_retried:
@@ -332,19 +342,21 @@
     def abort(self, outcome: Outcome) -> None:
         """Cancels the query on the engine with DELETE and ends the attempt with ``outcome``.
 
-        The attempt ends when the query can no longer run there: when the DELETE is answered or the lease has
-        lapsed, or at once if the query was never sent or its deadline has passed.
+        The attempt ends when the query can no longer run there: when the DELETE is acknowledged or the lease
+        has lapsed, or at once if the query was never sent or its deadline has passed.
         """
+        now = self.now()
         if self.ended or self._abort_outcome is not None:
-            if self._abort_outcome is not None and outcome is Outcome.TIMEOUT:
-                self._finish(self._abort_outcome)  # after the expiry the answer to the DELETE is not awaited
+            if self._abort_outcome is not None and now >= self.request.deadline:
+                self._finish(self._abort_outcome, EndEvidence.DEADLINE)
             return
         post_call = self._post_call
-        now = self.now()
         if post_call is None or not post_call.written:
             if post_call is not None:
                 post_call.abandon()
-            self._finish(Outcome.NOT_STARTED if outcome is Outcome.TIMEOUT else outcome)
+            self._finish(
+                Outcome.NOT_STARTED if outcome is Outcome.TIMEOUT else outcome, EndEvidence.NEVER_SENT
+            )
             return
         self._abort_outcome = outcome
         self.log("attempt_aborting", outcome=outcome.value, last_call_s=round(now - self._last_request_at, 4))
@@ -355,60 +367,69 @@
         self._cancel_timer(self._delayed_request)
         self._send_delete(False)
         self._lease_timer = self.timers.call_later(
-            max(0.0, self._last_request_at + QUERY_LEASE_S + MIN_POLL_INTERVAL_S - now),
-            self._handle_lease_expired,
+            max(0.0, self._lease.lapses_at - now), self._handle_lease_lapsed
         )
         if now >= self.request.deadline:
-            self._finish(outcome)  # the query is over, so no other attempt can follow
+            self._finish(outcome, EndEvidence.DEADLINE)
 
     def _send_delete(self, new_connection: bool) -> None:
+        assert self._listing is not None
         message = b"DELETE %s%s" % (self._path, self._request_suffix)
-        self._current_call = self.pools.call(self.request.engine, message, self.now(), None, new_connection)
-        self._current_call.response.addCallbacks(self._handle_deleted, self._handle_delete_failure)
+        self._current_call = self.pools.call(self._listing, message, self.now(), None, new_connection)
+        self._current_call.response.addCallbacks(self._handle_delete_response, self._handle_delete_failure)
 
-    def _handle_deleted(self, response: HttpResponse) -> None:
-        self._cancel_timer(self._lease_timer)
+    def _handle_delete_response(self, response: HttpResponse) -> None:
+        """Ends the attempt if the response acknowledges the DELETE; any other may belong to another call."""
         self.log("attempt_delete_answered", status=response.status)
-        self._finish_aborted()
+        if response.status != DELETE_ACKNOWLEDGED:
+            self.counters.add("engine_deletes_unacknowledged")
+            self._repeat_delete(True)
+            return
+        post_call = self._post_call
+        if post_call is not None:
+            # An unanswered POST may still be on its way: it must not arrive after its DELETE.
+            post_call.abandon(abort_connection=True)
+        self._finish_aborted(EndEvidence.DELETED)
 
     def _handle_delete_failure(self, failure: Failure) -> None:
-        """Repeats the DELETE until the lease has lapsed, unless the engine is gone."""
-        if self._engine_is_dead(failure) or not failure.check(ConnectError, ConnectionBrokenError):
-            self._cancel_timer(self._lease_timer)
-            self._finish_aborted()
-        elif self._lease_timer is not None and self._lease_timer.active():
-            new_connection = not failure.check(ConnectError)
+        self._repeat_delete(not failure.check(ConnectError, CallNotSentError))
+
+    def _repeat_delete(self, new_connection: bool) -> None:
+        """Sends the DELETE again shortly; the lease timer ends this."""
+        if self._lease_timer is not None and self._lease_timer.active():
             self._delayed_request = self.pools.clock.callLater(
                 MIN_POLL_INTERVAL_S, self._send_delete, new_connection
             )
-        else:
-            self._finish_aborted()
 
-    def _handle_lease_expired(self) -> None:
+    def _handle_lease_lapsed(self) -> None:
         """Ends the attempt once the engine has discarded the query for lack of polls.
 
         Connections with a request of this attempt are aborted, so that no delayed bytes can still reach the
         engine.
         """
-        self._cancel_timer(self._delayed_request)
         self.counters.add("attempts_lease_lapsed")
         self.log("attempt_lease_lapsed", last_call_s=round(self.now() - self._last_request_at, 4))
         for call in (self._current_call, self._post_call):
             if call is not None:
                 call.abandon(abort_connection=True)
-        self._finish_aborted()
+        self._finish_aborted(EndEvidence.LEASE_LAPSED)
 
-    def _finish_aborted(self) -> None:
+    def _finish_aborted(self, evidence: EndEvidence) -> None:
         assert self._abort_outcome is not None
-        self._finish(self._abort_outcome)
+        self._cancel_timer(self._lease_timer)
+        self._cancel_timer(self._delayed_request)
+        self._finish(self._abort_outcome, evidence)
         self._release_references()
 
     def _release_references(self) -> None:
-        """Drops the references to calls and timers, which refer back to this attempt.
+        """Drops the references to calls, timers and the listing, which nothing is sent for any more.
 
-        Without this, every aborted attempt is a reference cycle that holds a result until the next garbage
-        collection, and memory grows.
+        Calls and timers refer back to this attempt: every aborted attempt would be a reference cycle that
+        holds a result until the next garbage collection, and memory would grow.
         """
+        if self._listing is not None:
+            self.pools.release_listing(self._listing)
+            self._listing = None
         self._current_call = self._post_call = None
         self._delayed_request = self._lease_timer = self._expiry_timer = None
 
@@ -416,7 +437,7 @@
         if timer is not None and timer.active():
             timer.cancel()
 
-    def _finish(self, outcome: Outcome, response: HttpResponse | None = None) -> None:
+    def _finish(self, outcome: Outcome, evidence: EndEvidence, response: HttpResponse | None = None) -> None:
         """Ends the attempt and fires ``done``; does nothing if it has already ended."""
         if self.ended:
             return
@@ -429,6 +450,5 @@
         self._rows = ResultSetEncoder()
         if self._abort_outcome is None:
             self._release_references()
-        self.done.callback(
-            AttemptResult(outcome, rows.finish() if outcome is Outcome.OK else None, load_report)
-        )
+        result_set = rows.finish() if outcome is Outcome.OK else None
+        self.done.callback(AttemptResult(outcome, result_set, load_report, evidence))
--- /dev/null
+++ b/micahold/transport/connection_pools.py
@@ -0,0 +1,216 @@
+"""Pooled connections to engines: one pool per listing of an engine, one limit for all connections."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from typing import Any
+
+from micahold.counters import Counters
+from micahold.transport.calls import Call, CallNotSentError, ConnectError
+from micahold.transport.directory import EngineDirectory, EngineListing
+from micahold.transport.engine_connection import EngineConnection, EngineConnectionFactory
+from micahold.transport.timers import TimerQueue
+
+# Interval between checks for connections that have been idle for too long.
+SWEEP_INTERVAL_S = 1.0
+
+
+class EngineConnectionPools:
+    """Connections to all engines, pooled by listing.
+
+    New connections are made to current listings only. After the end of a listing its established connections
+    go on carrying calls while attempts retain it: its process may still run their queries.
+
+    At most ``max_connections`` are open in all. Calls beyond them wait in a queue, earliest due time first.
+    """
+
+    def __init__(
+        self,
+        clock: Any,
+        directory: EngineDirectory,
+        counters: Counters,
+        max_connections: int,
+        connect_timeout: float,
+        engine_idle_timeout: float,
+    ) -> None:
+        self.clock = clock
+        self.directory = directory
+        self.counters = counters
+        self.timers = TimerQueue(clock)
+        self.max_connections = max_connections
+        self.connect_timeout = connect_timeout
+        # Half the engines' own idle timeout, so that no request is sent on a connection that its engine is
+        # closing at that moment. 0 disables the sweep.
+        self.idle_timeout = engine_idle_timeout / 2
+        self.open_connections = 0  # established or being established
+        self._idle: dict[EngineListing, deque[EngineConnection]] = {}
+        self._retained: dict[EngineListing, int] = {}  # number of attempts that are not over
+        self.waiting_calls: list[tuple[float, int, Call]] = []  # heap of due time, tie breaker and call
+        self._sequence = count()
+        self._sweep = (
+            clock.callLater(SWEEP_INTERVAL_S, self._close_expired_idle) if self.idle_timeout > 0 else None
+        )
+
+    def call(
+        self,
+        listing: EngineListing,
+        request: bytes,
+        due_at: float,
+        should_send: Callable[[], bool] | None = None,
+        new_connection: bool = False,
+        self_identifying: bool = False,
+    ) -> Call:
+        """Sends a request to an engine, or queues it while no connection is available.
+
+        ``should_send`` is called right before the first byte and may still prevent it. ``new_connection``
+        excludes pooled connections. ``self_identifying`` says that no other response can be mistaken for the
+        one to this request, so that REUSE_DELAY_S does not apply.
+        """
+        call = Call(listing, request, due_at, should_send)
+        call.new_connection = new_connection
+        call.self_identifying = self_identifying
+        if self.waiting_calls or not self._dispatch(call):
+            heappush(self.waiting_calls, (due_at, next(self._sequence), call))
+            self.counters.record_max("calls_in_line", len(self.waiting_calls))
+        return call
+
+    def dispatch_waiting(self) -> None:
+        """Dispatches waiting calls in order of their due time until no connection is available."""
+        while self.waiting_calls:
+            call = self.waiting_calls[0][2]
+            if not call.ended and not self._dispatch(call):
+                return
+            heappop(self.waiting_calls)
+
+    def _dispatch(self, call: Call) -> bool:
+        """Sends a call on an idle or a new connection; False if none is available."""
+        listing = call.listing
+        is_current = self.directory.is_current(listing)
+        connection = None if call.new_connection and is_current else self._take_idle(call)
+        if connection is not None:
+            self._send(connection, call)
+            return True
+        if not is_current:
+            self._fail_unsent(call, "the engine is no longer listed")
+            return True
+        if self.open_connections >= self.max_connections and not self._evict_longest_idle():
+            return False
+        self.open_connections += 1
+        self.counters.record_max("engine_connections", self.open_connections)
+        self.counters.add("engine_connects")
+        factory = EngineConnectionFactory(self, call)
+        self.clock.connectTCP(listing.host, listing.port, factory, timeout=self.connect_timeout)
+        return True
+
+    def _take_idle(self, call: Call) -> EngineConnection | None:
+        """Removes and returns the most recently used connection that may carry the call.
+
+        A connection rests after its last response. Guards against a duplicate of that response, which would
+        be taken for the response to the call.
+        """
+        idle = self._idle.get(call.listing, ())
+        now = self.clock.seconds()
+        for index in range(len(idle) - 1, -1, -1):
+            connection = idle[index]
+            if call.self_identifying or connection.idle_since + connection.reuse_delay_s <= now:
+                del self._idle[call.listing][index]
+                return connection
+        return None
+
+    def _send(self, connection: EngineConnection, call: Call) -> None:
+        """Sends the call, or releases the connection if the call has ended or is no longer to be sent."""
+        if call.ended:
+            self.release(connection)
+        elif call.should_send is not None and not call.should_send():
+            self.release(connection)
+            self._fail_unsent(call, "the call is no longer to be sent")
+        else:
+            self.counters.add("engine_calls")
+            connection.send(call)
+
+    def _fail_unsent(self, call: Call, reason: str) -> None:
+        """Fails a call in a later reactor turn: the caller must have received the call object before."""
+        self.clock.callLater(0, call.fail, CallNotSentError(reason))
+
+    def retain(self, listing: EngineListing) -> None:
+        """Keeps connections usable after the end of their listing, until ``release_listing`` as often."""
+        self._retained[listing] = self._retained.get(listing, 0) + 1
+
+    def release_listing(self, listing: EngineListing) -> None:
+        """Takes back one ``retain``."""
+        self._retained[listing] -= 1
+        if not self._retained[listing]:
+            del self._retained[listing]
+            self.close_ended(listing)
+
+    def _may_pool(self, listing: EngineListing) -> bool:
+        return listing in self._retained or self.directory.is_current(listing)
+
+    def connection_established(self, connection: EngineConnection, call: Call) -> None:
+        """Sends the call that the connection was opened for, then waiting calls."""
+        if self.directory.is_current(connection.listing):
+            self._send(connection, call)
+        else:
+            connection.abort()  # another process may have the address
+            self._fail_unsent(call, "the engine is no longer listed")
+        self.dispatch_waiting()
+
+    def connection_failed(self, call: Call, refused: bool) -> None:
+        """Fails the call that the connection was to be opened for, then dispatches waiting calls."""
+        self.open_connections -= 1
+        self.counters.add("engine_connects_refused" if refused else "engine_connects_failed")
+        call.fail(ConnectError(refused))
+        self.dispatch_waiting()
+
+    def release(self, connection: EngineConnection) -> None:
+        """Returns a connection to its pool, or aborts it if its listing is neither current nor retained."""
+        if not self._may_pool(connection.listing):
+            connection.abort()
+            return
+        connection.idle_since = self.clock.seconds()
+        self._idle.setdefault(connection.listing, deque()).append(connection)
+
+    def connection_closed(self, connection: EngineConnection) -> None:
+        """Removes a connection and dispatches waiting calls in a later reactor turn."""
+        self.open_connections -= 1
+        idle = self._idle.get(connection.listing)
+        if idle and connection in idle:
+            idle.remove(connection)
+        self.clock.callLater(0, self.dispatch_waiting)
+
+    def _evict_longest_idle(self) -> bool:
+        """Aborts the connection that has been idle the longest, of any engine; False if none is idle."""
+        longest_idle = min((idle[0] for idle in self._idle.values() if idle), key=_idle_since, default=None)
+        if longest_idle is not None:
+            longest_idle.abort()
+        return longest_idle is not None
+
+    def close_idle(self, engine: str) -> None:
+        """Aborts the idle connections to the current listing of an engine."""
+        listing = self.directory.listing(engine)
+        if listing is not None:
+            self._abort_idle(listing)
+
+    def close_ended(self, listing: EngineListing) -> None:
+        """Aborts the idle connections of a listing unless it is current or retained."""
+        if not self._may_pool(listing):
+            self._abort_idle(listing)
+
+    def _abort_idle(self, listing: EngineListing) -> None:
+        for connection in list(self._idle.pop(listing, ())):
+            connection.abort()
+
+    def _close_expired_idle(self) -> None:
+        """Aborts the connections that have been idle for longer than the idle timeout."""
+        idle_before = self.clock.seconds() - self.idle_timeout
+        for idle in self._idle.values():
+            while idle and idle[0].idle_since <= idle_before:
+                idle[0].abort()
+        self._sweep = self.clock.callLater(SWEEP_INTERVAL_S, self._close_expired_idle)
+
+
+def _idle_since(connection: EngineConnection) -> float:
+    return connection.idle_since
--- a/micahold/transport/directory.py
+++ b/micahold/transport/directory.py
@@ -1,48 +1,67 @@
-"""Address and state of each engine from the engine list, by engine id, since addresses are reused."""
+"""Address and state of each engine from the engine list, by engine id.
+
+Ids and addresses are reused: an engine that returns after it was gone is another process. Each presence of
+an engine in the list under one address is therefore a listing of its own.
+"""
 
 from __future__ import annotations
 
+from itertools import count
+from typing import NamedTuple
+
 from micahold.interface import EngineState, ListKind
 from micahold.protocol.engine_list import EngineListEvent
 
 
-class EngineDirectory:
-    """Addresses and states of all engines except those that are gone.
+class EngineListing(NamedTuple):
+    """One uninterrupted presence of an engine in the list; ``number`` tells it from earlier ones."""
+
+    engine: str
+    host: str
+    port: int
+    number: int
+
 
-    Engine ids are never reused, so entries of engines that are gone need not be kept.
-    """
+class EngineDirectory:
+    """Listings and states of all engines except those that are gone."""
 
     def __init__(self) -> None:
-        self._addresses: dict[str, tuple[str, int]] = {}
+        self._listings: dict[str, EngineListing] = {}
         self._states: dict[str, EngineState] = {}
+        self._numbers = count(1)
 
-    def update(self, list_event: EngineListEvent) -> list[str]:
-        """Applies an event of the engine list; returns the engines that are gone or have a new address."""
-        old_addresses = dict(self._addresses)
+    def update(self, list_event: EngineListEvent) -> list[EngineListing]:
+        """Applies an event of the engine list; returns the listings that it ends."""
         if list_event.update.kind in (ListKind.FULL, ListKind.RESTORED):
             self._states.clear()
         for entry in list_event.update.entries:
             self._states[entry.engine] = entry.state
-        self._addresses.update(list_event.addresses)
         self._states = {
-            engine_id: state for engine_id, state in self._states.items() if state is not EngineState.GONE
-        }
-        self._addresses = {
-            engine_id: address for engine_id, address in self._addresses.items() if engine_id in self._states
+            engine: state for engine, state in self._states.items() if state is not EngineState.GONE
         }
-        return [
-            engine
-            for engine, old_address in old_addresses.items()
-            if old_address != self._addresses.get(engine)
-        ]
-
-    def accepts_queries(self, engine: str) -> bool:
-        """Whether the engine is up, not draining, and has a known address."""
-        return self._states.get(engine) is EngineState.UP and engine in self._addresses
-
-    def address(self, engine: str) -> tuple[str, int] | None:
-        """Host and port of the engine; None if it is gone, as another engine may use its address by now."""
-        return self._addresses.get(engine)
+        ended = [listing for engine, listing in self._listings.items() if engine not in self._states]
+        for listing in ended:
+            del self._listings[listing.engine]
+        for engine, (host, port) in list_event.addresses.items():
+            current = self._listings.get(engine)
+            if engine not in self._states or (current is not None and current[1:3] == (host, port)):
+                continue
+            if current is not None:
+                ended.append(current)
+            self._listings[engine] = EngineListing(engine, host, port, next(self._numbers))
+        return ended
+
+    def accepts_queries(self, listing: EngineListing) -> bool:
+        """Whether the listing has not ended and its engine is up and not draining."""
+        return self.is_current(listing) and self._states.get(listing.engine) is EngineState.UP
+
+    def is_current(self, listing: EngineListing) -> bool:
+        """Whether the listing has not ended; another process may have its address otherwise."""
+        return self._listings.get(listing.engine) == listing
+
+    def listing(self, engine: str) -> EngineListing | None:
+        """The current listing of an engine; None if it is gone or has no known address."""
+        return self._listings.get(engine)
 
     def __len__(self) -> int:
         """Number of engines that are up or draining."""
--- /dev/null
+++ b/micahold/transport/engine_connection.py
@@ -0,0 +1,179 @@
+"""A connection to an engine, which carries one HTTP call at a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from twisted.internet import error as twisted_error
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from micahold.protocol.errors import ProtocolError
+from micahold.protocol.http_messages import HttpResponse, ResponseParser
+from micahold.transport.calls import Call, ConnectionBrokenError, UnreadableResponseError
+from micahold.transport.directory import EngineListing
+from micahold.transport.timers import Timer
+
+if TYPE_CHECKING:
+    from micahold.transport.connection_pools import EngineConnectionPools
+
+# An engine responds within 250 ms, so a call without a response for this long is lost with its connection.
+RESPONSE_TIMEOUT_S = 0.6
+# Extra time after RESPONSE_TIMEOUT_S for a response that has arrived but a late event loop has not read yet.
+LATE_READ_GRACE_S = 0.05
+# Minimum time between a response and the next call on its connection: a duplicate of the response arrives
+# within it and can't be mistaken for the response to the next call.
+REUSE_DELAY_S = 0.003
+# The same after the response to a DELETE, of which a duplicate would acknowledge the next DELETE.
+DELETE_REUSE_DELAY_S = 0.05
+NO_CONTENT = 204
+
+
+class EngineConnection(Protocol):
+    """A connection to an engine that carries one call at a time."""
+
+    def __init__(self, pools: EngineConnectionPools, listing: EngineListing, initial_call: Call) -> None:
+        self.pools = pools
+        self.listing = listing
+        self.initial_call: Call | None = initial_call
+        self.current_call: Call | None = None
+        self.idle_since = 0.0
+        self.reuse_delay_s = REUSE_DELAY_S  # after the last response
+        self.closing = False
+        self._reader = ResponseParser()
+        self._response_timer: Timer | None = None
+
+    def connectionMade(self) -> None:
+        transport: Any = self.transport
+        transport.setTcpNoDelay(True)
+        initial_call = self.initial_call
+        self.initial_call = None
+        if initial_call is not None:
+            self.pools.connection_established(self, initial_call)
+
+    def send(self, call: Call) -> None:
+        """Writes the request of the call and starts the response timeout."""
+        transport: Any = self.transport
+        self.current_call = call
+        call.connection = self
+        call.written = True
+        call.should_send = None  # it refers to the caller; dropping it avoids a reference cycle
+        transport.write(call.request)
+        self._response_timer = self.pools.timers.call_later(
+            RESPONSE_TIMEOUT_S, self._handle_response_timeout, False
+        )
+
+    def _handle_response_timeout(self, grace_elapsed: bool) -> None:
+        """Fails the call and aborts the connection, after a grace period for data that has not been read yet.
+
+        Guards against responses that stop midway or never arrive: every call ends.
+        """
+        if not grace_elapsed:
+            self._response_timer = self.pools.timers.call_later(
+                LATE_READ_GRACE_S, self._handle_response_timeout, True
+            )
+            return
+        call = self.current_call
+        self.pools.counters.add("engine_calls_unanswered")
+        self.abort_call()
+        if call is not None:
+            call.fail(ConnectionBrokenError("no response within the timeout"))
+
+    def dataReceived(self, data: bytes) -> None:
+        call = self.current_call
+        if call is None:
+            self.abort()  # an engine must not send data on an idle connection
+            return
+        try:
+            response = self._reader.feed(data)
+        except ProtocolError as error:
+            self.abort_call()
+            self.pools.counters.add("engine_answers_unreadable")
+            call.fail(UnreadableResponseError(str(error)))
+            return
+        if response is not None:
+            self._finish_call(call, response)
+
+    def _finish_call(self, call: Call, response: HttpResponse) -> None:
+        """Releases or aborts the connection, then delivers the response."""
+        self.current_call = call.connection = None
+        self._cancel_response_timer()
+        self.reuse_delay_s = DELETE_REUSE_DELAY_S if response.status == NO_CONTENT else REUSE_DELAY_S
+        if response.keep_alive:
+            self.pools.release(self)
+        else:
+            self.abort()
+        call.succeed(response)
+        if self.pools.waiting_calls:
+            self.pools.dispatch_waiting()
+
+    def abort_call(self) -> None:
+        """Detaches the current call, which is neither answered nor failed, and aborts the connection."""
+        call = self.current_call
+        self.current_call = None
+        if call is not None:
+            call.connection = None
+        self.abort()
+
+    def abort(self) -> None:
+        """Closes the connection with a TCP reset, so that unsent data is discarded."""
+        self._cancel_response_timer()
+        if not self.closing:
+            self.closing = True
+            self.pools.connection_closed(self)
+            if self.transport is not None:
+                self.transport.abortConnection()
+
+    def _cancel_response_timer(self) -> None:
+        if self._response_timer is not None:
+            self._response_timer.cancel()
+            self._response_timer = None
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._cancel_response_timer()
+        call = self.current_call
+        self.current_call = None
+        if not self.closing:
+            self.closing = True
+            self.pools.connection_closed(self)
+        if call is None:
+            return
+        self.pools.counters.add("engine_connections_lost_in_call")
+        call.connection = None
+        response = self._reader.connection_closed() if reason.check(twisted_error.ConnectionDone) else None
+        if response is not None:
+            call.succeed(response)
+        else:
+            call.fail(ConnectionBrokenError(reason.getErrorMessage()))
+
+
+class EngineConnectionFactory(ClientFactory):
+    """Establishes one connection for one call."""
+
+    noisy = False
+
+    def __init__(self, pools: EngineConnectionPools, call: Call) -> None:
+        self.pools = pools
+        self.call: Call | None = call
+
+    def buildProtocol(self, addr: IAddress | None) -> EngineConnection:
+        call = self.call
+        self.call = None  # the factory lives as long as its connection and must not hold the call
+        assert call is not None
+        return EngineConnection(self.pools, call.listing, call)
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self._break_reference_cycle(connector)
+        call = self.call
+        self.call = None
+        if call is not None:
+            self.pools.connection_failed(call, reason.check(twisted_error.ConnectionRefusedError) is not None)
+
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        self._break_reference_cycle(connector)
+
+    def _break_reference_cycle(self, connector: Any) -> None:
+        """Twisted's connector and its transport refer to each other until a garbage collection."""
+        if connector is not None:
+            connector.transport = None
--- a/tests/network.py
+++ b/tests/network.py
@@ -12,7 +12,7 @@
 from micahold.counters import Counters
 from micahold.protocol.engine_list import EngineListEvent
 from micahold.transport.attempts import Attempt, AttemptRequest, AttemptResult
-from micahold.transport.calls import EngineConnectionPools
+from micahold.transport.connection_pools import EngineConnectionPools
 from micahold.transport.directory import EngineDirectory
 from micahold.transport.timers import TimerQueue
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -12,9 +12,17 @@
     MAX_PAGES,
     MAX_UNREADABLE_RESPONSES,
     MIN_POLL_INTERVAL_S,
-    QUERY_LEASE_S,
+    AttemptResult,
+    EndEvidence,
+)
+from micahold.transport.engine_connection import LATE_READ_GRACE_S, RESPONSE_TIMEOUT_S, REUSE_DELAY_S
+from micahold.transport.query_lease import (
+    CALL_HOLD_S,
+    DELIVERY_DELAY_S,
+    ENGINE_LEASE_S,
+    LIMIT_TOLERANCE_S,
+    QueryLease,
 )
-from micahold.transport.calls import LATE_READ_GRACE_S, RESPONSE_TIMEOUT_S, REUSE_DELAY_S
 from tests.mysql_client import decode_result_set
 from tests.network import PAGE, EngineHarness, ServerEnd, engine_list_event, http_response
 
@@ -230,15 +238,110 @@
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
-def test_post_to_a_dead_engine_ends_as_reset_at_once() -> None:
+# From the last call that was written to the moment at which its engine has surely discarded the query.
+LEASE_FROM_CALL_S = DELIVERY_DELAY_S + CALL_HOLD_S + ENGINE_LEASE_S + LIMIT_TOLERANCE_S
+
+
+def refuse_connections(network: EngineHarness, results: list[AttemptResult], until: float) -> None:
+    """Refuses every new connection until that time, and checks that no result comes before it."""
+    while network.clock.seconds() < until - MIN_POLL_INTERVAL_S:
+        for pending in network.connections:
+            if pending.protocol is None:
+                pending.protocol = object()
+                pending.refuse()
+        assert not results
+        network.advance(MIN_POLL_INTERVAL_S / 2)
+
+
+def test_engine_that_refuses_connections_after_a_reset_may_still_run_the_query() -> None:
+    """A draining engine takes no new connection and runs on: only the lease shows that it is over."""
     network = EngineHarness()
-    _, results = network.start_attempt()
+    sent_at = network.clock.seconds()
+    _, results = network.start_attempt(wait=30.0)
     first_connection(network).disconnect()
     network.advance()
-    network.connections[1].refuse()
+    refuse_connections(network, results, sent_at + LEASE_FROM_CALL_S)
+    network.advance(2 * MIN_POLL_INTERVAL_S)
+    assert [(result.outcome, result.evidence) for result in results] == [
+        (Outcome.RESET, EndEvidence.LEASE_LAPSED)
+    ]
+
+
+def test_engine_listed_as_gone_may_still_run_the_query() -> None:
+    network = EngineHarness()
+    sent_at = network.clock.seconds()
+    _, results = network.start_attempt(wait=30.0)
+    connection = first_connection(network)
+    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")):
+        network.pools.close_ended(listing)
+    connection.send(http_response(202))
+    network.advance(MIN_POLL_INTERVAL_S)
+    assert connection.transport.take_written() == get(0)  # its connection goes on being used
+    sent_at = network.clock.seconds()
+    connection.disconnect()
+    refuse_connections(network, results, sent_at + LEASE_FROM_CALL_S)
+    assert len(network.connections) == 1  # another process may have its address
+    network.advance(2 * MIN_POLL_INTERVAL_S)
     assert [result.outcome for result in results] == [Outcome.RESET]
 
 
+@pytest.mark.parametrize(
+    "response", [http_response(202), http_response(200, PAGE, X_Sheets="1"), http_response(503), b"noise"]
+)
+def test_only_an_acknowledged_delete_ends_an_aborted_attempt(response: bytes) -> None:
+    network = EngineHarness()
+    attempt, results = network.start_attempt(wait=30.0)
+    first_connection(network)
+    attempt.abort(Outcome.CANCELLED)
+    network.connections[1].accept().send(response)
+    assert not results
+    network.advance(MIN_POLL_INTERVAL_S)
+    retry = network.connections[2].accept()
+    assert retry.transport.take_written() == DELETE
+    assert not results
+    retry.send(http_response(204))
+    assert [(result.outcome, result.evidence) for result in results] == [
+        (Outcome.CANCELLED, EndEvidence.DELETED)
+    ]
+
+
+def test_unanswered_post_can_not_arrive_after_its_acknowledged_delete() -> None:
+    network = EngineHarness()
+    attempt, results = network.start_attempt()
+    connection = first_connection(network)
+    attempt.abort(Outcome.CANCELLED)
+    network.connections[1].accept().send(http_response(204))
+    assert connection.transport.aborted
+    assert [result.outcome for result in results] == [Outcome.CANCELLED]
+
+
+def test_lease_counts_from_the_latest_moment_at_which_the_engine_may_have_begun_to_count() -> None:
+    lease = QueryLease()
+    lease.call_written(10.0)
+    assert lease.lapses_at >= 10.0 + 0.25 + 2.0 + 0.05
+    lease.response_received(10.01)  # perhaps a duplicate of an earlier response
+    assert lease.lapses_at >= 10.0 + 0.25 + 2.0 + 0.05
+    lease.response_received(12.0)  # the call was read late
+    assert lease.lapses_at >= 12.0 + 2.0 + 0.05
+    lease.call_written(11.0)
+    assert lease.lapses_at >= 12.0 + 2.0 + 0.05
+
+
+def test_expiry_before_the_deadline_does_not_end_an_aborted_attempt() -> None:
+    """Another attempt may follow until the deadline."""
+    network = EngineHarness()
+    attempt, results = network.start_attempt(wait=1.0)
+    attempt.request.deadline += 5.0
+    first_connection(network)
+    attempt.abort(Outcome.CANCELLED)
+    network.advance(1.0)
+    assert not results
+    attempt.abort(Outcome.TIMEOUT)
+    assert not results
+    network.connections[1].accept().send(http_response(204))
+    assert [result.outcome for result in results] == [Outcome.CANCELLED]
+
+
 def test_get_with_a_broken_connection_is_repeated_on_a_new_one() -> None:
     network = EngineHarness()
     _, results = network.start_attempt()
@@ -259,24 +362,27 @@
     connection.send(http_response(200, PAGE, X_Sheets="2"))
     connection.disconnect()
     network.advance()
-    network.connections[1].refuse()
+    refuse_connections(network, results, LEASE_FROM_CALL_S)
+    network.advance(2 * MIN_POLL_INTERVAL_S)
     assert [(result.outcome, result.result_set) for result in results] == [(Outcome.RESET, None)]
 
 
-def test_get_is_not_repeated_after_the_lease_of_the_query_has_lapsed() -> None:
+def test_query_is_aborted_after_the_contact_timeout_and_ends_when_its_lease_has_lapsed() -> None:
     network = EngineHarness()
     _, results = network.start_attempt(wait=30.0)
     connection = first_connection(network)
     connection.send(http_response(202))
     network.advance(MIN_POLL_INTERVAL_S)
+    sent_at = network.clock.seconds()
     connection.disconnect()
-    for _ in range(20):
-        network.advance(MIN_POLL_INTERVAL_S)
+    while not results:
+        network.advance(0.25)
         for pending in network.connections[1:]:
-            if pending.protocol is None and not results:
-                network.advance(0.25)
+            if pending.protocol is None:
                 pending.protocol = object()
                 pending.time_out()
+        assert network.clock.seconds() < 10.0
+    assert network.clock.seconds() >= sent_at + LEASE_FROM_CALL_S
     assert [result.outcome for result in results] == [Outcome.RESET]
 
 
@@ -324,7 +430,7 @@
     network.advance(1.0)
     attempt.abort(Outcome.CANCELLED)
     network.connections[1].accept()
-    network.advance(QUERY_LEASE_S - 1.1)
+    network.advance(LEASE_FROM_CALL_S - 1.1)
     assert not results
     network.advance(0.3)
     assert [result.outcome for result in results] == [Outcome.CANCELLED]
--- a/tests/test_engine_calls.py
+++ b/tests/test_engine_calls.py
@@ -8,16 +8,20 @@
 from twisted.python.failure import Failure
 
 from micahold.transport.calls import (
-    LATE_READ_GRACE_S,
-    RESPONSE_TIMEOUT_S,
-    REUSE_DELAY_S,
     CallError,
     CallNotSentError,
     ConnectError,
     ConnectionBrokenError,
-    EngineConnectionPools,
     UnreadableResponseError,
 )
+from micahold.transport.connection_pools import EngineConnectionPools
+from micahold.transport.directory import EngineListing
+from micahold.transport.engine_connection import (
+    DELETE_REUSE_DELAY_S,
+    LATE_READ_GRACE_S,
+    RESPONSE_TIMEOUT_S,
+    REUSE_DELAY_S,
+)
 from tests.network import EngineHarness, engine_list_event, http_response
 
 
@@ -27,10 +31,17 @@
     def __init__(self, max_connections: int = 10) -> None:
         super().__init__(max_connections)
         self.outcomes: dict[str, Any] = {}
+        self.listings = {engine: self.listing(engine) for engine in ("a", "b")}
+
+    def listing(self, engine: str) -> EngineListing:
+        """The current listing of an engine."""
+        listing = self.directory.listing(engine)
+        assert listing is not None
+        return listing
 
     def call(self, name: str, engine: str = "a", due_at: float = 0.0, **options: Any) -> Any:
-        """Makes a call whose request is its name."""
-        call = self.pools.call(engine, name.encode(), due_at, **options)
+        """Makes a call whose request is its name to the first listing of the engine."""
+        call = self.pools.call(self.listings[engine], name.encode(), due_at, **options)
         call.response.addCallback(lambda response: self.outcomes.__setitem__(name, response.status))
 
         def failed(failure: Failure) -> None:
@@ -216,7 +227,7 @@
 
 def test_engine_list_is_checked_again_before_the_first_byte() -> None:
     network = CallRecorder()
-    network.call("one", should_send=lambda: network.directory.accepts_queries("a"))
+    network.call("one", should_send=lambda: network.directory.accepts_queries(network.listings["a"]))
     network.directory.update(engine_list_event(2, full=False, a="draining"))
     connection = network.connections[0].accept()
     network.advance()
@@ -229,8 +240,8 @@
     network.call("one")
     connection = network.connections[0].accept()
     connection.send(http_response())
-    for engine in network.directory.update(engine_list_event(2, a="gone", b="up")):
-        network.pools.close_idle(engine)
+    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")):
+        network.pools.close_ended(listing)
     assert connection.transport.aborted
     network.call("two")
     network.advance()
@@ -244,9 +255,10 @@
     network.connections[0].accept().send(http_response())
     moved = engine_list_event(2, full=False, a="up")
     moved.addresses["a"] = ("127.0.0.1", 5000)
-    for engine in network.directory.update(moved):
-        network.pools.close_idle(engine)
+    for listing in network.directory.update(moved):
+        network.pools.close_ended(listing)
     assert network.connections[0].transport.aborted
+    network.listings["a"] = network.listing("a")
     network.call("two")
     assert network.connections[1].address == ("127.0.0.1", 5000)
 
@@ -296,4 +308,68 @@
     pools = EngineConnectionPools(
         network.clock, network.directory, network.counters, 1, 0.25, engine_idle_timeout=0.0
     )
-    assert pools.call("a", b"x", 0.0) is not None
+    listing = network.directory.listing("a")
+    assert listing is not None
+    assert pools.call(listing, b"x", 0.0) is not None
+
+
+def test_retained_listing_is_called_on_its_connections_after_its_end_and_on_no_new_one() -> None:
+    """Its process may still run queries, and another process may have its address."""
+    network = CallRecorder()
+    network.pools.retain(network.listings["a"])
+    network.call("one")
+    connection = network.connections[0].accept()
+    connection.send(http_response())
+    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")):
+        network.pools.close_ended(listing)
+    network.advance(REUSE_DELAY_S)
+    connection.transport.clear()
+    network.call("two")
+    assert connection.transport.take_written() == b"two"
+    network.call("three")
+    network.advance()
+    assert network.outcomes["three"] is CallNotSentError
+    connection.send(http_response())
+    network.pools.release_listing(network.listings["a"])
+    assert connection.transport.aborted
+    assert len(network.connections) == 1
+
+
+def test_engine_that_returns_under_its_id_gets_connections_of_its_own() -> None:
+    network = CallRecorder()
+    old_listing = network.listings["a"]
+    network.pools.retain(old_listing)
+    network.call("one")
+    network.connections[0].accept().send(http_response())
+    network.directory.update(engine_list_event(2, a="gone", b="up"))
+    network.directory.update(engine_list_event(3, a="up", b="up"))
+    assert network.listing("a") != old_listing
+    network.listings["a"] = network.listing("a")
+    network.advance(REUSE_DELAY_S)
+    network.call("two")
+    assert network.connections[1].accept().transport.take_written() == b"two"
+
+
+def test_connection_that_comes_up_after_the_end_of_its_listing_carries_nothing() -> None:
+    network = CallRecorder()
+    network.call("one")
+    network.directory.update(engine_list_event(2, a="gone", b="up"))
+    connection = network.connections[0].accept()
+    network.advance()
+    assert connection.transport.take_written() == b""
+    assert connection.transport.aborted
+    assert network.outcomes == {"one": CallNotSentError}
+
+
+def test_connection_rests_longer_after_an_acknowledged_delete() -> None:
+    """A duplicate of the acknowledgement would acknowledge the next DELETE."""
+    network = CallRecorder()
+    network.call("one")
+    network.connections[0].accept().send(http_response(204))
+    network.advance(REUSE_DELAY_S)
+    network.call("two")
+    assert len(network.connections) == 2
+    network.advance(DELETE_REUSE_DELAY_S)
+    network.connections[0].transport.clear()
+    network.call("three")
+    assert network.connections[0].transport.take_written() == b"three"
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -419,7 +419,7 @@
     assert len(harness.directory) == 2
     assert not harness.exchange.open_queries and not harness.exchange._open_ids
     assert set(harness.exchange._engine_entries) == {"a", "b"}
-    assert not harness.pools._idle and not harness.pools._established and not harness.pools.waiting_calls
+    assert not harness.pools._idle and not harness.pools._retained and not harness.pools.waiting_calls
     assert harness.pools.open_connections == 0
 
 
