The deadline passed to an engine is what is left when the POST is written

Change: a call's request is made right before its first byte (Call.prepare); an attempt whose time is over by then is never sent. The contact timeout counts from the write as well. Test: a POST that waited 1.5 s of 5 passes 3,500 ms; it passed 5,000 before.

--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -118,6 +119,7 @@
         self._page_count = 0
         self._rows = ResultSetEncoder()
         self._pages_read = 0
+        self._host = b""  # value of the Host header
         self._request_suffix = b""  # ends the request line and the headers of GET and DELETE requests
         self._last_request_at = 0.0
         self._last_contact_at = 0.0  # of the last usable response, or the start
@@ -142,43 +144,47 @@
             self._finish(Outcome.NOT_STARTED, EndEvidence.NEVER_SENT)
             return
         self.pools.retain(listing)
-        headers = [
-            (b"Via-Id", request.query_id),
-            (b"Via-Class", request.class_name),
-            (b"Via-Wait", b"%d" % max(1, int((request.expires_at - now) * 1000))),
-        ]
-        if request.token is not None:
-            headers.append((b"Via-Token", request.token))
-        host = b"%s:%d" % (listing.host.encode(), listing.port)
-        self._request_suffix = b" HTTP/1.1\r\nHost: %s\r\n\r\n" % host
-        message = encode_request(b"POST", b"/data", host, tuple(headers), request.statement)
+        self._host = b"%s:%d" % (listing.host.encode(), listing.port)
+        self._request_suffix = b" HTTP/1.1\r\nHost: %s\r\n\r\n" % self._host
         self._expiry_timer = self.timers.call_later(
             max(0.0, request.expires_at - now), self.abort, Outcome.TIMEOUT
         )
         self._last_contact_at = now
-        self._post_call = self._current_call = self.pools.call(
-            listing, message, now, self._check_accepts_queries
-        )
+        self._post_call = self._current_call = self.pools.call(listing, now, self._prepare_post)
         self._post_call.response.addCallbacks(self._handle_status, self._handle_post_failure)
 
-    def _check_accepts_queries(self) -> bool:
-        """Whether to send the POST.
+    def _prepare_post(self) -> bytes | None:
+        """The POST, or None if the engine is no longer to be sent queries or the attempt's time is over.
 
-        Called right before the first byte, since the engine list may have changed while a connection was
-        established.
+        Called right before the first byte: the engine list may have changed, and the time that is left has
+        grown shorter, while the call waited for a connection.
         """
+        request = self.request
+        now = self.now()
         assert self._listing is not None
-        accepts = self.directory.accepts_queries(self._listing)
-        if accepts:
-            self._record_request_time()
-            self.log("attempt_sent", left=round(self.request.expires_at - self._last_request_at, 3))
-        return accepts
-
-    def _record_request_time(self) -> bool:
-        """Called right before a request is written that may renew the lease; always allows it."""
+        if now >= request.expires_at or not self.directory.accepts_queries(self._listing):
+            return None
+        left_ms = max(1, int((request.expires_at - now) * 1000))
+        headers = [
+            (b"Via-Id", request.query_id),
+            (b"Via-Class", request.class_name),
+            (b"Via-Wait", b"%d" % left_ms),
+        ]
+        if request.token is not None:
+            headers.append((b"Via-Token", request.token))
+        self.log("attempt_sent", left=left_ms / 1000)
+        self._last_contact_at = now
+        self._record_request_time()
+        return encode_request(b"POST", b"/data", self._host, tuple(headers), request.statement)
+
+    def _prepare_poll(self, message: bytes) -> bytes:
+        self._record_request_time()
+        return message
+
+    def _record_request_time(self) -> None:
+        """Notes the write of a request that may renew the lease."""
         self._last_request_at = self.now()
         self._lease.call_written(self._last_request_at)
-        return True
 
     def _record_response(self) -> None:
         self._last_contact_at = self.now()
@@ -195,9 +201,8 @@
         # A page carries its number, so a duplicate of an earlier response can't be mistaken for it.
         self._current_call = self.pools.call(
             self._listing,
-            message,
             due_at,
-            self._record_request_time,
+            partial(self._prepare_poll, message),
             new_connection,
             self_identifying=page > 0,
         )
@@ -375,7 +380,7 @@
     def _send_delete(self, new_connection: bool) -> None:
         assert self._listing is not None
         message = b"DELETE %s%s" % (self._path, self._request_suffix)
-        self._current_call = self.pools.call(self._listing, message, self.now(), None, new_connection)
+        self._current_call = self.pools.call(self._listing, self.now(), lambda: message, new_connection)
         self._current_call.response.addCallbacks(self._handle_delete_response, self._handle_delete_failure)
 
     def _handle_delete_response(self, response: HttpResponse) -> None:
--- a/micahold/transport/calls.py
+++ b/micahold/transport/calls.py
@@ -42,17 +42,14 @@
 class Call:
     """One request to one engine: queued, then written, then ended.
 
-    ``response`` fires with the response or with a ``CallError``. Where ``should_send`` is given, it is called
-    right before the first byte and decides whether the request is still sent.
+    ``response`` fires with the response or with a ``CallError``. ``prepare`` is called right before the first
+    byte; it returns the request, or None if nothing is to be sent any more.
     """
 
-    def __init__(
-        self, listing: EngineListing, request: bytes, due_at: float, should_send: Callable[[], bool] | None
-    ) -> None:
+    def __init__(self, listing: EngineListing, due_at: float, prepare: Callable[[], bytes | None]) -> None:
         self.listing = listing
-        self.request = request
         self.due_at = due_at
-        self.should_send = should_send
+        self.prepare: Callable[[], bytes | None] | None = prepare
         self.response: Deferred[HttpResponse] = Deferred()
         self.written = self.ended = False
         self.new_connection = self.self_identifying = False
@@ -68,7 +65,7 @@
         """Ends the call with an error, unless it has already ended."""
         if not self.ended:
             self.ended = True
-            self.should_send = None
+            self.prepare = None
             self.response.errback(Failure(reason))
 
     def abandon(self, abort_connection: bool = False) -> None:
@@ -77,7 +74,7 @@
         ``abort_connection`` also aborts the connection, so that bytes not yet delivered are discarded.
         """
         self.ended = True
-        self.should_send = None
+        self.prepare = None
         self.response = Deferred()  # the previous one refers to the caller; dropping it avoids a cycle
         if abort_connection and self.connection is not None:
             self.connection.abort_call()
--- a/micahold/transport/connection_pools.py
+++ b/micahold/transport/connection_pools.py
@@ -57,19 +57,19 @@
     def call(
         self,
         listing: EngineListing,
-        request: bytes,
         due_at: float,
-        should_send: Callable[[], bool] | None = None,
+        prepare: Callable[[], bytes | None],
         new_connection: bool = False,
         self_identifying: bool = False,
     ) -> Call:
         """Sends a request to an engine, or queues it while no connection is available.
 
-        ``should_send`` is called right before the first byte and may still prevent it. ``new_connection``
-        excludes pooled connections. ``self_identifying`` says that no other response can be mistaken for the
-        one to this request, so that REUSE_DELAY_S does not apply.
+        ``prepare`` is called right before the first byte and returns the request, or None to send nothing:
+        the call may have waited for a connection meanwhile. ``new_connection`` excludes pooled connections.
+        ``self_identifying`` says that no other response can be mistaken for the one to this request, so that
+        the connection need not have rested.
         """
-        call = Call(listing, request, due_at, should_send)
+        call = Call(listing, due_at, prepare)
         call.new_connection = new_connection
         call.self_identifying = self_identifying
         if self.waiting_calls or not self._dispatch(call):
@@ -122,14 +122,16 @@
 
     def _send(self, connection: EngineConnection, call: Call) -> None:
         """Sends the call, or releases the connection if the call has ended or is no longer to be sent."""
-        if call.ended:
+        if call.ended or call.prepare is None:
             self.release(connection)
-        elif call.should_send is not None and not call.should_send():
+            return
+        request = call.prepare()
+        if request is None:
             self.release(connection)
             self._fail_unsent(call, "the call is no longer to be sent")
         else:
             self.counters.add("engine_calls")
-            connection.send(call)
+            connection.send(call, request)
 
     def _fail_unsent(self, call: Call, reason: str) -> None:
         """Fails a call in a later reactor turn: the caller must have received the call object before."""
--- a/micahold/transport/engine_connection.py
+++ b/micahold/transport/engine_connection.py
@@ -52,14 +52,14 @@
         if initial_call is not None:
             self.pools.connection_established(self, initial_call)
 
-    def send(self, call: Call) -> None:
+    def send(self, call: Call, request: bytes) -> None:
         """Writes the request of the call and starts the response timeout."""
         transport: Any = self.transport
         self.current_call = call
         call.connection = self
         call.written = True
-        call.should_send = None  # it refers to the caller; dropping it avoids a reference cycle
-        transport.write(call.request)
+        call.prepare = None  # it refers to the caller; dropping it avoids a reference cycle
+        transport.write(request)
         self._response_timer = self.pools.timers.call_later(
             RESPONSE_TIMEOUT_S, self._handle_response_timeout, False
         )
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -51,6 +51,17 @@
     assert sent.endswith(b"\r\n\r\nSELECT 1")
 
 
+def test_deadline_passed_to_the_engine_is_what_is_left_when_the_post_is_written() -> None:
+    """A connection may come up late, or the call may have waited for one."""
+    network = EngineHarness(max_connections=1)
+    network.start_attempt(wait=5.0)
+    network.start_attempt(wait=5.0)
+    network.advance(1.2)
+    network.connections[0].time_out()
+    network.advance(0.3)
+    assert b"Via-Wait: 3500\r\n" in network.connections[1].accept().transport.take_written()
+
+
 def test_result_is_delivered_only_after_all_pages_are_read() -> None:
     network = EngineHarness()
     _, results = network.start_attempt()
--- a/tests/test_engine_calls.py
+++ b/tests/test_engine_calls.py
@@ -41,7 +41,8 @@
 
     def call(self, name: str, engine: str = "a", due_at: float = 0.0, **options: Any) -> Any:
         """Makes a call whose request is its name to the first listing of the engine."""
-        call = self.pools.call(self.listings[engine], name.encode(), due_at, **options)
+        prepare = options.pop("prepare", name.encode)
+        call = self.pools.call(self.listings[engine], due_at, prepare, **options)
         call.response.addCallback(lambda response: self.outcomes.__setitem__(name, response.status))
 
         def failed(failure: Failure) -> None:
@@ -227,7 +228,8 @@
 
 def test_engine_list_is_checked_again_before_the_first_byte() -> None:
     network = CallRecorder()
-    network.call("one", should_send=lambda: network.directory.accepts_queries(network.listings["a"]))
+    listing = network.listings["a"]
+    network.call("one", prepare=lambda: b"one" if network.directory.accepts_queries(listing) else None)
     network.directory.update(engine_list_event(2, full=False, a="draining"))
     connection = network.connections[0].accept()
     network.advance()
@@ -298,9 +300,9 @@
 def test_sent_call_holds_no_reference_to_its_caller() -> None:
     """Otherwise each attempt is a cycle that only a garbage collection frees, which stalls the front."""
     network = CallRecorder()
-    call = network.call("one", should_send=lambda: True)
+    call = network.call("one", prepare=lambda: b"one")
     network.connections[0].accept()
-    assert call.should_send is None
+    assert call.prepare is None
 
 
 def test_pools_without_an_idle_timeout_start_no_sweep() -> None:
@@ -310,7 +312,7 @@
     )
     listing = network.directory.listing("a")
     assert listing is not None
-    assert pools.call(listing, b"x", 0.0) is not None
+    assert pools.call(listing, 0.0, lambda: b"x") is not None
 
 
 def test_retained_listing_is_called_on_its_connections_after_its_end_and_on_no_new_one() -> None:
