An attempt still waiting for a connection is not sent after its client has left

Cause: Exchange.drop only told the controller, which cancels where the settings allow cancelling. Where they don't, an attempt whose connection came up later was sent all the same. Change: what was not written ends with the query, whatever the settings say of cancelling. Test: a connection that comes up after the client left carries nothing; it carried the POST before.

--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -344,6 +344,11 @@
             max(0.0, expires_at - self.now()), self.abort, Outcome.TIMEOUT
         )
 
+    def abandon_unsent(self) -> None:
+        """Ends the attempt if nothing of it was written yet; has no effect on one that was sent."""
+        if self._post_call is not None and not self._post_call.written:
+            self.abort(Outcome.NOT_STARTED)
+
     def abort(self, outcome: Outcome) -> None:
         """Cancels the query on the engine with DELETE and ends the attempt with ``outcome``.
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -233,6 +233,16 @@
     assert not harness.exchange.open_queries
 
 
+def test_attempt_that_waits_for_a_connection_is_not_sent_after_its_client_has_left() -> None:
+    harness = ExchangeHarness()
+    number, _ = harness.submit()
+    harness.execute(api.Send(number, "a"))
+    harness.exchange.drop(number)
+    assert harness.connections[0].accept().transport.take_written() == b""
+    harness.advance()
+    assert not harness.exchange.open_queries
+
+
 def test_cancel_action_aborts_the_attempt() -> None:
     harness = ExchangeHarness()
     query_number, _ = harness.submit()
