Test of a dropped query: its attempt was sent, and the report is counted over all batches

It dropped a query whose connection was not up yet and then let a result come on it; such an attempt is no longer sent. In its place: the connection comes up before the drop, and exactly one QueryDropped is found in all batches, where only the last event was looked at before.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -223,11 +223,18 @@
     harness = ExchangeHarness()
     query_number, reply = harness.submit()
     harness.execute(api.Send(query_number, "a"))
+    connection = harness.connections[0].accept()
     harness.exchange.drop(query_number)
     harness.exchange.drop(query_number)
     harness.advance()
-    assert harness.last_event() == api.QueryDropped(query_number)
-    harness.connections[0].accept().send(http_response(200, PAGE, X_Sheets="1"))
+    drops = [
+        event
+        for batch in harness.controller.batches
+        for event in batch
+        if isinstance(event, api.QueryDropped)
+    ]
+    assert drops == [api.QueryDropped(query_number)]
+    connection.send(http_response(200, PAGE, X_Sheets="1"))
     harness.advance()
     assert not reply.answers
     assert not harness.exchange.open_queries
