Every span is counted by the monotonic clock; a step of the wall clock moves no deadline

What callers saw: with a query open, a wall clock stepped back an hour gave no answer at all, one stepped back 3 s an answer 3 s late, one stepped forward an hour 'no answer in time' after 0.3 s. The front's own Unix clock was frozen at the start plus monotonic time, so that instants in the log, in gossip's messages and in the validity of keys never followed a correction of the clock. Change: FrontReactor.seconds, the exchange, the controller and gossip run on time.monotonic; Unix time is read anew where a log line, a message or a key names an instant. Start times of engines are converted once, and a start that is news and implausibly old counts as now, so that a step never warms a cold engine. A gossip member stepped within its clock error suspects nobody; one an hour off is heard again once set right.

--- a/micahold/laboratory/liars.py
+++ b/micahold/laboratory/liars.py
@@ -31,7 +31,7 @@
         )
         if rows:
             self.report_sequence += 1
-            report = wire.FailureReport(self.run, self.report_sequence, int(now * 1000), 5000, rows)
+            report = wire.FailureReport(self.run, self.report_sequence, self.unix_ms(now), 5000, rows)
             signed = self._sign(now, StatementKind.FAILURE_REPORT, report)
             self.dissemination.add(("failure_report", self.options.name), signed, Priority.OWN)
 
@@ -47,7 +47,7 @@
 
     def _report_failures(self, now: float) -> None:
         engines = tuple(sorted(self.up_engines)[: wire.MAX_ENGINES_PER_STATEMENT])
-        signed = self._sign(now, StatementKind.DRAIN_REPORT, wire.DrainReport(int(now * 1000), engines))
+        signed = self._sign(now, StatementKind.DRAIN_REPORT, wire.DrainReport(self.unix_ms(now), engines))
         self.dissemination.add(("drains", self.options.name), signed, Priority.OWN)
 
 
@@ -56,7 +56,7 @@
 
     def _report_failures(self, now: float) -> None:
         for member in list(self.member_list):
-            report = wire.SuspicionReport(member.name, member.record.incarnation, int(now * 1000))
+            report = wire.SuspicionReport(member.name, member.record.incarnation, self.unix_ms(now))
             key = ("suspicion_report", member.name, self.options.name, member.record.incarnation)
             self.dissemination.add(key, self._sign(now, StatementKind.SUSPICION_REPORT, report), Priority.OWN)
 
--- a/micahold/laboratory/loopback_site.py
+++ b/micahold/laboratory/loopback_site.py
@@ -13,6 +13,7 @@
 from micahold.laboratory.front_process import FrontProcess
 from micahold.laboratory.record_checker import RuleLimits, RunRecords, Violation, check_records
 from micahold.laboratory.sql_client import QueryIds, QueryRecord, SqlSession
+from micahold.laboratory.system_faults import SystemFaults
 
 FIRST_CURSOR = 3
 NS_PER_S = 10**9
@@ -94,6 +95,7 @@
         self._sockets = sockets
         self._settings = site_settings(fronts, *classes, **setting_changes)
         self.fronts: list[FrontProcess] = []
+        self.faults: list[SystemFaults] = []  # of each front's machine
 
     async def __aenter__(self) -> Self:
         for engine in self.engines:
@@ -109,7 +111,11 @@
                 "known": {"cursor": FIRST_CURSOR, "cmds": [{"cursor": FIRST_CURSOR, "nodes": nodes}]},
                 "settings": {**self._settings, "my_number": index},
             }
-            self.fronts.append(FrontProcess(f"n{index + 1}", self._folder, configuration))
+            front = FrontProcess(f"n{index + 1}", self._folder, configuration)
+            faults = SystemFaults(self._folder / f"{front.name}.faults")
+            front.environment.update(faults.environment())
+            self.faults.append(faults)
+            self.fronts.append(front)
         await self.start_fronts()
         return self
 
--- a/micahold/laboratory/lying_peer.py
+++ b/micahold/laboratory/lying_peer.py
@@ -27,12 +27,20 @@
     settings, signer, keyring = read_settings_and_keys(path)
     assert settings.gossip is not None and signer is not None and keyring is not None
     reactor: Any = twisted_reactor
-    group = FalseFailureReporter(group_options(settings.gossip, name, 1), signer, keyring, time.time(), 1)
+    now = time.monotonic()
+    options = group_options(settings.gossip, name, 1)
+    group = FalseFailureReporter(options, signer, keyring, now, 1, time.time() - now)
     peer = GossipService(
-        reactor, time.time, group, settings.gossip.listen, lambda *_, **__: None, lambda _: None
+        reactor,
+        time.monotonic,
+        time.time,
+        group,
+        settings.gossip.listen,
+        lambda *_, **__: None,
+        lambda _: None,
     )
     peer.start()
-    group.update_engine_list(time.time(), set(engines), set())
+    group.update_engine_list(now, set(engines), set())
     reactor.callLater(RUN_TIME_S, reactor.stop)
     reactor.run()
 
--- a/micahold/membership/group.py
+++ b/micahold/membership/group.py
@@ -103,12 +103,21 @@
 class Group:
     """One member of the gossip group.
 
+    ``now`` is monotonic in all calls. Instants in messages and in the validity of keys are Unix times, which
+    are ``unix_offset_s`` later; the caller sets it before each call, since the wall clock may be stepped.
+
     ``outbox``, ``exchange_targets`` and ``status_changes`` collect the results of a call: datagrams to send,
     members with which to begin an anti-entropy exchange, and membership changes for the log.
     """
 
     def __init__(
-        self, options: GroupOptions, signer: Signer, keyring: Keyring, now: float, seed: int
+        self,
+        options: GroupOptions,
+        signer: Signer,
+        keyring: Keyring,
+        now: float,
+        seed: int,
+        unix_offset_s: float = 0.0,
     ) -> None:
         self.options, self.signer, self.keyring = options, signer, keyring
         self.random = Random(seed)
@@ -127,7 +136,8 @@
         self.exchange_targets: list[tuple[str, Address]] = []
         self.status_changes: list[StatusChange] = []
         # The start of this run in Unix milliseconds distinguishes it from earlier runs of this member.
-        self.run = int(now * 1000)
+        self.unix_offset_s = unix_offset_s
+        self.run = self.unix_ms(now)
         self.sequence = 0  # of the last packet
         self.report_sequence = 0  # of the last failure report
         self.up_engines: set[str] = set()
@@ -157,6 +167,13 @@
         self.own_record: SignedStatement = self._sign(now, StatementKind.MEMBER_RECORD, self.record)
         self.dissemination.add(("record", options.name), self.own_record, Priority.OWN)
 
+    def _unix(self, now: float) -> float:
+        return now + self.unix_offset_s
+
+    def unix_ms(self, now: float) -> int:
+        """The Unix time in milliseconds, for the instants in messages."""
+        return int(self._unix(now) * 1000)
+
     # Statements
 
     def _sign(
@@ -171,8 +188,9 @@
     ) -> SignedStatement:
         """Encode a statement and sign it with the key that is valid now."""
         body, name = wire.encode(struct), self.options.name
-        key_id, _ = self.signer.sign(now, b"")
-        key_id, signature = self.signer.sign(now, wire.signed_bytes(kind, name, key_id, body))
+        unix_now = self._unix(now)
+        key_id, _ = self.signer.sign(unix_now, b"")
+        key_id, signature = self.signer.sign(unix_now, wire.signed_bytes(kind, name, key_id, body))
         return SignedStatement(kind, name, key_id, body, signature)
 
     def _is_signature_valid(self, now: float, signed: SignedStatement) -> bool:
@@ -182,13 +200,13 @@
         if (
             verified_body is not None
             and verified_body == signed.body
-            and self.keyring.key_rejection(now, *signature_key[:2]) is None
+            and self.keyring.key_rejection(self._unix(now), *signature_key[:2]) is None
         ):
             self._verified_signatures.move_to_end(signature_key)
             return True
         self.counts["signatures_checked"] += 1
         rejection = self.keyring.signature_rejection(
-            now, *signature_key[:2], signed.signed_bytes(), signed.signature
+            self._unix(now), *signature_key[:2], signed.signed_bytes(), signed.signature
         )
         if rejection is not None:
             self.counts[f"statements_{rejection}"] += 1
@@ -233,14 +251,16 @@
         if sender == self.options.name or packet.recipient not in (self.options.name, ""):
             self.counts["datagrams_not_ours"] += 1
             return None
-        rejection = self.keyring.key_rejection(now, sender, signed.key_id)
-        rejection = rejection or self.replay.check(now, sender, packet.run, packet.sequence, packet.at_ms)
+        unix_now = self._unix(now)
+        rejection = self.keyring.key_rejection(unix_now, sender, signed.key_id)
+        if rejection is None:
+            rejection = self.replay.check(unix_now, sender, packet.run, packet.sequence, packet.at_ms)
         if rejection is not None:
             self.counts[f"datagrams_{rejection}"] += 1
             return None
         if not self._is_signature_valid(now, signed):
             return None
-        self.replay.commit(now, sender, packet.run, packet.sequence, packet.at_ms)
+        self.replay.commit(now, unix_now, sender, packet.run, packet.sequence, packet.at_ms)
         return sender, packet
 
     def _handle_packet(self, now: float, sender: str, packet: wire.Packet) -> None:
@@ -320,7 +340,7 @@
 
         A suspicion of this member by a credible accuser also worsens the local health score.
         """
-        if abs(now - report.at_ms / 1000) > MAX_STATEMENT_AGE_S + self.options.clock_error:
+        if abs(self._unix(now) - report.at_ms / 1000) > MAX_STATEMENT_AGE_S + self.options.clock_error:
             return
         subject, accuser = report.subject, signed.origin
         if subject == self.options.name:
@@ -358,10 +378,10 @@
         origin = signed.origin
         if (
             origin == self.options.name
-            or abs(now - report.at_ms / 1000) > MAX_REPORT_AGE_S + self.options.clock_error
+            or abs(self._unix(now) - report.at_ms / 1000) > MAX_REPORT_AGE_S + self.options.clock_error
         ):
             return
-        age_s = self.replay.statement_age_s(now, origin, report.at_ms)
+        age_s = self.replay.statement_age_s(self._unix(now), origin, report.at_ms)
         if age_s is not None and age_s > MAX_REPORT_AGE_S:
             return
         reporter = self.failure_reports.reporters.get(origin)
@@ -387,9 +407,9 @@
         origin = signed.origin
         if origin == self.options.name or origin in self.failure_reports.equivocations:
             return
-        age_s = self.replay.statement_age_s(now, origin, report.at_ms)
+        age_s = self.replay.statement_age_s(self._unix(now), origin, report.at_ms)
         if (
-            abs(now - report.at_ms / 1000) > MAX_REPORT_AGE_S + self.options.clock_error
+            abs(self._unix(now) - report.at_ms / 1000) > MAX_REPORT_AGE_S + self.options.clock_error
             or (age_s or 0.0) > MAX_REPORT_AGE_S
         ):
             return
@@ -450,7 +470,7 @@
     ) -> bytes:
         self.sequence += 1
         packet = wire.Packet(
-            receiver, self.run, self.sequence, int(now * 1000), tuple(messages), tuple(statements)
+            receiver, self.run, self.sequence, self.unix_ms(now), tuple(messages), tuple(statements)
         )
         return wire.encode(self._sign(now, StatementKind.PACKET, packet))
 
@@ -639,7 +659,7 @@
             return
         if member.suspicion is not None and self.options.name in member.suspicion.accusers:
             return
-        report = wire.SuspicionReport(probe.target, member.record.incarnation, int(now * 1000))
+        report = wire.SuspicionReport(probe.target, member.record.incarnation, self.unix_ms(now))
         self._apply_suspicion_report(
             now, self._sign(now, StatementKind.SUSPICION_REPORT, report), report, Priority.OWN
         )
@@ -704,7 +724,7 @@
         self.failure_reports.retain(now, names, self.up_engines)
         self.replay.retain(now, names)
         for signature_key in list(self._verified_signatures):
-            if self.keyring.key_rejection(now, signature_key[0], signature_key[1]) is not None:
+            if self.keyring.key_rejection(self._unix(now), signature_key[0], signature_key[1]) is not None:
                 del self._verified_signatures[signature_key]
 
     # Anti-entropy exchange: frames over one connection
@@ -805,7 +825,7 @@
         self.drain_reports.set_listed_engines(self.up_engines)
         if newly_draining:
             report = wire.DrainReport(
-                int(now * 1000), tuple(sorted(newly_draining))[: wire.MAX_ENGINES_PER_STATEMENT]
+                self.unix_ms(now), tuple(sorted(newly_draining))[: wire.MAX_ENGINES_PER_STATEMENT]
             )
             signed = self._sign(now, StatementKind.DRAIN_REPORT, report)
             self.dissemination.add(("drains", self.options.name), signed, Priority.OWN)
@@ -820,7 +840,7 @@
             return
         self._reported_engines = {row[0] for row in rows}
         self.report_sequence += 1
-        at_ms, window_ms = int(now * 1000), 5000
+        at_ms, window_ms = self.unix_ms(now), 5000
         report = wire.FailureReport(self.run, self.report_sequence, at_ms, window_ms, rows)
         while len(rows) > 1 and len(wire.encode(report)) > 700:
             rows = rows[:-1]
@@ -879,7 +899,7 @@
         is_view_request = packet.recipient == self.options.name and packet.messages == (wire.ViewRequest(),)
         return (
             is_view_request
-            and abs(now - packet.at_ms / 1000) < MAX_STATEMENT_AGE_S
+            and abs(self._unix(now) - packet.at_ms / 1000) < MAX_STATEMENT_AGE_S
             and self._is_signature_valid(now, signed)
         )
 
--- a/micahold/membership/replay.py
+++ b/micahold/membership/replay.py
@@ -2,9 +2,9 @@
 
 A sender's run is its start time in Unix milliseconds; a later run replaces an earlier one. Sequence numbers
 are checked as in the anti-replay window of RFC 4303. Clocks may differ by ``clock_error``;
-``TRANSIT_ALLOWANCE_S`` is added for the time in transit. A sender's state is kept until no datagram of its
-run can pass the time check any more. So a member that restarts with its clock set back is rejected for that
-long at most, and a replay is rejected at any time.
+``TRANSIT_ALLOWANCE_S`` is added for the time in transit. A sender's state is kept, in monotonic time,
+until no datagram of its run can pass the time check any more. So a member that restarts with its clock set
+back is rejected for that long at most, and a replay is rejected at any time.
 """
 
 from __future__ import annotations
@@ -33,9 +33,9 @@
         self.clock_error = clock_error
         self.senders: dict[str, SenderState] = {}
 
-    def check(self, now: float, sender: str, run: int, sequence: int, at_ms: int) -> str | None:
+    def check(self, unix_now: float, sender: str, run: int, sequence: int, at_ms: int) -> str | None:
         """None for a new datagram, else the reason for its rejection; ``at_ms`` is its time in Unix ms."""
-        if abs(now - at_ms / 1000) > self.clock_error + TRANSIT_ALLOWANCE_S:
+        if abs(unix_now - at_ms / 1000) > self.clock_error + TRANSIT_ALLOWANCE_S:
             return "time"
         state = self.senders.get(sender)
         if state is None or run > state.run:
@@ -47,10 +47,10 @@
             return None
         return "repeated" if behind >= WINDOW_SEQUENCES or state.seen_bits >> behind & 1 else None
 
-    def commit(self, now: float, sender: str, run: int, sequence: int, at_ms: int) -> None:
+    def commit(self, now: float, unix_now: float, sender: str, run: int, sequence: int, at_ms: int) -> None:
         """Mark a datagram as received; ``check`` must have accepted it and its signature must be valid."""
         state = self.senders.get(sender)
-        offset_s = now - at_ms / 1000
+        offset_s = unix_now - at_ms / 1000
         if state is None or run > state.run:
             self.senders[sender] = SenderState(run, sequence, 1, now, offset_s)
             return
@@ -68,10 +68,10 @@
         state.clock_offset_s = min(offset_s, state.clock_offset_s + 0.01 * (offset_s - state.clock_offset_s))
         state.last_heard = now
 
-    def statement_age_s(self, now: float, sender: str, at_ms: int) -> float | None:
+    def statement_age_s(self, unix_now: float, sender: str, at_ms: int) -> float | None:
         """Age of a statement made at ``at_ms`` by the sender's clock; None where the offset is unknown."""
         state = self.senders.get(sender)
-        return None if state is None else max(0.0, now - at_ms / 1000 - state.clock_offset_s)
+        return None if state is None else max(0.0, unix_now - at_ms / 1000 - state.clock_offset_s)
 
     def retain(self, now: float, names: set[str]) -> None:
         """Keep only senders among ``names`` that sent within twice the tolerance of the time check."""
--- a/micahold/membership/service.py
+++ b/micahold/membership/service.py
@@ -108,6 +108,7 @@
 class GossipService(protocol.DatagramProtocol):
     """Runs a ``Group`` on sockets and a timer, and connects it to the admission controller.
 
+    ``now`` reads the monotonic clock, by which all spans are measured, and ``unix_now`` the wall clock.
     ``deliver_event`` receives the group's events for the controller. ``observe`` takes the events that the
     query exchange delivers to the controller.
     """
@@ -119,13 +120,15 @@
         self,
         clock: Any,
         now: Callable[[], float],
+        unix_now: Callable[[], float],
         group: Group,
         listen_address: Address,
         log: Callable[..., None],
         deliver_event: Callable[[api.Event], None],
         share_reports: bool = True,
     ) -> None:
-        self.clock, self.now, self.group, self.listen_address = clock, now, group, listen_address
+        self.clock, self.group, self.listen_address = clock, group, listen_address
+        self._monotonic, self._unix_now = now, unix_now
         self.log, self.deliver_event = log, deliver_event
         self.adapter = ControllerAdapter(group, share_reports)
         self.open_connections = 0
@@ -134,6 +137,12 @@
         self._tcp_port: Any = None
         self._stopped = False
 
+    def now(self) -> float:
+        """The monotonic time; also tells the group what the wall clock shows, which may have been stepped."""
+        now = self._monotonic()
+        self.group.unix_offset_s = self._unix_now() - now
+        return now
+
     # Start and stop
 
     def start(self) -> None:
--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum
 from typing import Any, Protocol
 
@@ -12,6 +13,7 @@
 from micahold.counters import Counters
 from micahold.program.collector import GarbageCollector
 from micahold.program.configuration import Configuration
+from micahold.program.engine_start_times import EngineStartTimes
 from micahold.program.log import Log
 from micahold.protocol.engine_list import EngineListEvent, parse_list_event
 from micahold.protocol.errors import ProtocolError
@@ -45,12 +47,6 @@
     STOPPED = "stopped"
 
 
-def forward_unix_clock() -> Callable[[], float]:
-    """A clock of Unix seconds that never steps back: the wall clock at the start plus monotonic time."""
-    base = time.time() - time.monotonic()
-    return lambda: base + time.monotonic()
-
-
 class Subsystems(Protocol):
     """The subsystems that the operator's own file enables beside the front."""
 
@@ -78,7 +74,8 @@
 class Front:
     """Builds the parts of a front, connects them and takes them through the phases.
 
-    ``clock`` is the reactor, ``now`` returns Unix seconds, ``stop`` stops the reactor.
+    ``clock`` is the reactor, ``now`` returns seconds of the monotonic clock, ``unix_now`` those of the wall
+    clock, ``stop`` stops the reactor.
     """
 
     def __init__(
@@ -89,12 +86,16 @@
         log: Log,
         counters: Counters,
         stop: Callable[[], None],
+        unix_now: Callable[[], float] = time.time,
     ) -> None:
         self.configuration = configuration
         self.clock = clock
         self.log = log
         self.counters = counters
         self._stop = stop
+        self._now = now
+        self._unix_now = unix_now
+        self._start_times = EngineStartTimes(configuration.settings.rules.cold_duration_s)
         self.phase = Phase.CONFIGURED
         settings = configuration.settings
         self.directory = EngineDirectory()
@@ -147,7 +148,7 @@
         """
         self.log.defer_flushes(lambda: self.clock.callLater(POLL_INTERVAL_S, self._flush_log))
         for list_event in self.configuration.initial_list_events:
-            self.exchange.apply_list_update(list_event)
+            self._apply_engine_list(list_event, is_news=False)
         host, port = self.configuration.listen
         self._port = self.clock.listenTCP(port, self.sessions, backlog=LISTEN_BACKLOG, interface=host)
         self.channel.start()
@@ -184,9 +185,13 @@
             self.counters.add("list_events_unreadable")
             self.log("list_event_unreadable", error=str(error))
             return False
-        self.exchange.apply_list_update(list_event)
+        self._apply_engine_list(list_event, is_news=True)
         return True
 
+    def _apply_engine_list(self, list_event: EngineListEvent, is_news: bool) -> None:
+        update = self._start_times.convert(list_event.update, self._unix_now(), self._now(), is_news)
+        self.exchange.apply_list_update(replace(list_event, update=update))
+
     # Reload
 
     def reload_configuration(self, read: Callable[[], Configuration]) -> None:
--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import errno
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -49,6 +50,9 @@
 class FrontReactor(epollreactor.EPollReactor):
     """An epoll reactor whose iteration is one poll and one pass over the descriptors that are ready."""
 
+    # All timers and time limits count real time: the wall clock may be stepped.
+    seconds = staticmethod(time.monotonic)
+
     def __init__(self) -> None:
         self._unsent_writers: dict[Any, None] = {}
         self._iteration_end_calls: list[Callable[[], None]] = []
--- a/micahold/program/operator.py
+++ b/micahold/program/operator.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import time
 from dataclasses import replace
 from typing import Any
 
@@ -59,14 +59,13 @@
 class OperatorSubsystems:
     """Creates the subsystems that the file at ``path`` enables, connects them to ``front`` and runs them.
 
-    ``clock`` is the reactor, ``now`` returns Unix seconds. The constructor raises ``OperatorFileError`` where
+    ``clock`` is the reactor. The constructor raises ``OperatorFileError`` where
     the file, a key file it names or the member's name is not usable.
     """
 
-    def __init__(self, path: str, front: Front, clock: Any, now: Callable[[], float], log: Any) -> None:
+    def __init__(self, path: str, front: Front, clock: Any, log: Any) -> None:
         self.path = path
         self.front = front
-        self.now = now
         self.log = log
         self.settings, signer, keyring = read_settings_and_keys(path)
         self.gossip: GossipService | None = None
@@ -77,10 +76,12 @@
             )
             if options.name not in keyring.keys:
                 raise OperatorFileError([f"{self.settings.gossip.members}: no member {options.name}"])
-            group = Group(options, signer, keyring, now(), configuration.seed)
+            now = time.monotonic()
+            group = Group(options, signer, keyring, now, configuration.seed, time.time() - now)
             self.gossip = GossipService(
                 clock,
-                now,
+                time.monotonic,
+                time.time,
                 group,
                 self.settings.gossip.listen,
                 bind_logger(log, part="gossip").info,
--- a/micahold/program/start.py
+++ b/micahold/program/start.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from collections.abc import Callable
+import time
 from pathlib import Path
 from typing import Any
 
@@ -17,7 +17,7 @@
 
 from micahold.counters import Counters
 from micahold.program.configuration import Configuration, parse_configuration
-from micahold.program.front import Front, Subsystems, format_listen_error, forward_unix_clock
+from micahold.program.front import Front, Subsystems, format_listen_error
 from micahold.program.log import Log
 from micahold.program.loop import install
 from micahold.settings import FormatError
@@ -43,7 +43,7 @@
     return parse_configuration(data)
 
 
-def create_subsystems(path: str, front: Front, loop: Any, now: Callable[[], float], log: Log) -> Subsystems:
+def create_subsystems(path: str, front: Front, loop: Any, log: Log) -> Subsystems:
     """The subsystems that the operator's file at ``path`` enables; ``FormatError`` where it is not usable."""
     try:
         from micahold.program.operator import OperatorSubsystems
@@ -51,7 +51,7 @@
     except ModuleNotFoundError as error:
         raise FormatError(f"{error.name} is missing: pip install 'micahold[gossip]'") from None
     try:
-        return OperatorSubsystems(path, front, loop, now, log)
+        return OperatorSubsystems(path, front, loop, log)
     except OperatorFileError as error:
         raise FormatError("\nmicahold: ".join(error.problems)) from None
 
@@ -69,14 +69,13 @@
         print_error(str(error))
         return EXIT_BAD_CONFIGURATION
     loop = install()
-    now = forward_unix_clock()
     counters = Counters()
-    log = Log(sys.stdout.fileno(), now, counters)
-    front = Front(configuration, loop, now, log, counters, loop.stop)
+    log = Log(sys.stdout.fileno(), time.time, counters)
+    front = Front(configuration, loop, time.monotonic, log, counters, loop.stop)
 
     if operator_file := os.environ.get("MICAHOLD_OPERATOR"):
         try:
-            front.subsystems = create_subsystems(operator_file, front, loop, now, log)
+            front.subsystems = create_subsystems(operator_file, front, loop, log)
         except FormatError as error:
             print_error(str(error))
             return EXIT_BAD_CONFIGURATION
--- a/tests/test_membership_cores.py
+++ b/tests/test_membership_cores.py
@@ -107,10 +107,10 @@
     ]
     for sequence in order:
         if replay.check(NOW, "a", 7, sequence, int(NOW * 1000)) is None:
-            replay.commit(NOW, "a", 7, sequence, int(NOW * 1000))
+            replay.commit(NOW, NOW, "a", 7, sequence, int(NOW * 1000))
         assert replay.check(NOW, "a", 7, sequence, int(NOW * 1000)) == "repeated"
     assert accepted == order
-    replay.commit(NOW, "a", 7, 5000, int(NOW * 1000))
+    replay.commit(NOW, NOW, "a", 7, 5000, int(NOW * 1000))
     assert replay.check(NOW, "a", 7, 5000 - WINDOW_SEQUENCES, int(NOW * 1000)) == "repeated"
     assert replay.check(NOW, "a", 7, 5000 - WINDOW_SEQUENCES + 1, int(NOW * 1000)) is None
 
@@ -127,9 +127,9 @@
 
 def test_a_new_run_replaces_the_old_one_for_good() -> None:
     replay = ReplayProtection(30.0)
-    replay.commit(NOW, "a", 5, 100, int(NOW * 1000))
+    replay.commit(NOW, NOW, "a", 5, 100, int(NOW * 1000))
     assert replay.check(NOW, "a", 6, 1, int(NOW * 1000)) is None
-    replay.commit(NOW, "a", 6, 1, int(NOW * 1000))
+    replay.commit(NOW, NOW, "a", 6, 1, int(NOW * 1000))
     assert replay.check(NOW, "a", 5, 101, int(NOW * 1000)) == "old_run"
     replay.retain(NOW + 60, {"a"})
     # The state is kept while a copy of a datagram could still pass the time check.
--- a/tests/test_membership_network.py
+++ b/tests/test_membership_network.py
@@ -450,3 +450,26 @@
     assert set(group.failure_reports.reporters) <= {"m1", "m2"} and set(group.replay.senders) <= {"m1", "m2"}
     assert set(group.failure_reports.observations.engines) <= {"e2"}
     assert all(signature_key[0] in ("m0", "m1", "m2") for signature_key in group._verified_signatures)
+
+
+@pytest.mark.parametrize("step_s", [3.0, -3.0, 20.0, -20.0])
+def test_step_of_a_members_wall_clock_within_the_clock_error_makes_nobody_suspected(step_s: float) -> None:
+    network = network_with_liars(0, Group, members=5)
+    stepped = network.nodes["m0"]
+    due_before = stepped.group.due()
+    stepped.group.unix_offset_s += step_s
+    assert stepped.group.due() == due_before  # no timer moves with the wall clock
+    network.run(15.0)
+    for node in network.live_nodes():
+        assert {member.status for member in node.group.member_list} <= {Status.ALIVE}
+
+
+def test_member_whose_clock_is_off_by_an_hour_is_heard_again_once_it_is_set_right() -> None:
+    """Its packets are rejected by their time until then."""
+    network = network_with_liars(0, Group, members=5)
+    stepped, other = network.nodes["m0"], network.nodes["m1"]
+    stepped.group.unix_offset_s += 3600.0
+    network.run(5.0)
+    assert other.group.counts["datagrams_time"] > 0
+    stepped.group.unix_offset_s -= 3600.0
+    assert network.run_until(network.is_converged, 60) is not None
