What the front lacks for a connection is no engine's failure: it waits and tries again

What callers saw: with connect or socket failing at the front for a moment (EADDRNOTAVAIL, ENETUNREACH, ENFILE, EMFILE, ENOBUFS, ENOMEM, EINTR) a query with 4 s left was refused after 0.05 s, with a hint. Cause: EngineConnectionFactory told every failed connect as the engine's, so that each engine in turn was tried, quarantined, and the query's attempts were used up. Change: errors of the front itself put the call back into the queue, new connections rest for 20 ms, and calls for which an idle connection is there go on; the query's own time bounds the wait. Counted by error as engine_connects_lacked_NAME.

--- a/micahold/transport/connection_pools.py
+++ b/micahold/transport/connection_pools.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import errno
 from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
+from math import inf
 from typing import Any
 
 from micahold.counters import Counters
@@ -16,6 +18,8 @@
 
 # Interval between checks for connections that have been idle for too long.
 SWEEP_INTERVAL_S = 1.0
+# Until the front tries to connect again after it lacked descriptors, ports, memory or a route.
+LACK_RETRY_DELAY_S = 0.02
 
 
 class EngineConnectionPools:
@@ -50,6 +54,7 @@
         self._retained: dict[EngineListing, int] = {}  # number of attempts that are not over
         self.waiting_calls: list[tuple[float, int, Call]] = []  # heap of due time, tie breaker and call
         self._sequence = count()
+        self._suspended_until = -inf  # no new connections until then
         self._sweep = (
             clock.callLater(SWEEP_INTERVAL_S, self._close_expired_idle) if self.idle_timeout > 0 else None
         )
@@ -72,13 +77,20 @@
         call = Call(listing, due_at, prepare)
         call.new_connection = new_connection
         call.self_identifying = self_identifying
-        if self.waiting_calls or not self._dispatch(call):
+        may_overtake = self._is_suspended()  # the others wait for new connections
+        if (self.waiting_calls and not may_overtake) or not self._dispatch(call):
             heappush(self.waiting_calls, (due_at, next(self._sequence), call))
             self.counters.record_max("calls_in_line", len(self.waiting_calls))
         return call
 
     def dispatch_waiting(self) -> None:
         """Dispatches waiting calls in order of their due time until no connection is available."""
+        if self._is_suspended():
+            waiting, self.waiting_calls = sorted(self.waiting_calls), []
+            for entry in waiting:
+                if not entry[2].ended and not self._dispatch(entry[2]):
+                    heappush(self.waiting_calls, entry)
+            return
         while self.waiting_calls:
             call = self.waiting_calls[0][2]
             if not call.ended and not self._dispatch(call):
@@ -96,6 +108,8 @@
         if not is_current:
             self._fail_unsent(call, "the engine is no longer listed")
             return True
+        if self._is_suspended():
+            return False
         if self.open_connections >= self.max_connections and not self._evict_longest_idle():
             return False
         self.open_connections += 1
@@ -160,6 +174,19 @@
             self._fail_unsent(call, "the engine is no longer listed")
         self.dispatch_waiting()
 
+    def _is_suspended(self) -> bool:
+        """Whether no connections are made for the moment, since the front lacks what it takes."""
+        return bool(self.clock.seconds() < self._suspended_until)
+
+    def connection_lacked(self, call: Call, error_number: int) -> None:
+        """Puts the call back into the queue: the front could not even try to reach the engine."""
+        self.open_connections -= 1
+        self.counters.add(f"engine_connects_lacked_{errno.errorcode.get(error_number, error_number)}")
+        heappush(self.waiting_calls, (call.due_at, next(self._sequence), call))
+        if not self._is_suspended():
+            self._suspended_until = self.clock.seconds() + LACK_RETRY_DELAY_S
+            self.clock.callLater(LACK_RETRY_DELAY_S, self.dispatch_waiting)
+
     def connection_failed(self, call: Call, refused: bool) -> None:
         """Fails the call that the connection was to be opened for, then dispatches waiting calls."""
         self.open_connections -= 1
--- a/micahold/transport/engine_connection.py
+++ b/micahold/transport/engine_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet import error as twisted_error
@@ -28,6 +29,21 @@
 # The same after the response to a DELETE, of which a duplicate would acknowledge the next DELETE.
 DELETE_REUSE_DELAY_S = 0.05
 NO_CONTENT = 204
+# socket(2) and connect(2): the front itself lacks something, which says nothing of the engine.
+LOCAL_CONNECT_ERRORS = frozenset(
+    {
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
 
 
 class EngineConnection(Protocol):
@@ -167,7 +183,12 @@
         self._break_reference_cycle(connector)
         call = self.call
         self.call = None
-        if call is not None:
+        if call is None:
+            return
+        error_number = getattr(reason.value, "osError", None)
+        if error_number in LOCAL_CONNECT_ERRORS:
+            self.pools.connection_lacked(call, error_number)
+        else:
             self.pools.connection_failed(call, reason.check(twisted_error.ConnectionRefusedError) is not None)
 
     def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
