A failed write of the log keeps its lines for a later one

What operators saw: with ENOSPC, EIO or EINTR on the log's descriptor for a moment all buffered lines were gone, uncounted. Answers were not concerned. Cause: any OSError counted as a closed pipe, and the buffer was dropped. Change: only EPIPE drops the buffer; other errors keep it, within its bound, and count in log_writes_failed. Test: lines written during the failure come once it is over; they did not before.

--- a/micahold/program/log.py
+++ b/micahold/program/log.py
@@ -63,8 +63,9 @@
             while self._buffer:
                 written = os.write(self._descriptor, self._buffer)
                 del self._buffer[:written]
-        except BlockingIOError:
-            pass
-        except OSError:
-            self._buffer.clear()  # the reader has closed the pipe
+        except BrokenPipeError:
+            self._buffer.clear()  # nobody will ever read it
+        except OSError as error:
+            if not isinstance(error, BlockingIOError):
+                self._counters.add("log_writes_failed")  # the lines are kept until a later flush
         return not self._buffer
