Failing accept, recv, send and epoll_wait end no connection and no longer spin

What callers saw: with accept failing for a second (ENFILE, EMFILE, EPROTO, ENETUNREACH) the front used a whole core, all other queries behind it; a recv or send that failed with ENOMEM or EINTR reset the client's connection, and its query was lost. Cause: Twisted's Port logs such an error and is called again at once by a level-triggered epoll; its Connection takes everything but EWOULDBLOCK as a broken connection; a failing epoll_wait was repeated without a pause. Change: program/sockets.py: transports that make a transient call again after 10 ms, a port that rests as long and never closes; a poll that fails waits 1 ms. Counted as failed_CALL_NAME.

--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -276,7 +276,11 @@
         """Logs all counters of the front and its subsystems."""
         subsystem_counters = self.subsystems.counters() if self.subsystems is not None else {}
         self.log(
-            "counters", open=self.exchange.unanswered_count, **self.counters.snapshot(), **subsystem_counters
+            "counters",
+            open=self.exchange.unanswered_count,
+            **self.counters.snapshot(),
+            **subsystem_counters,
+            **getattr(self.clock, "failed_calls", {}),
         )
 
 
--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -10,14 +10,15 @@
 
 import errno
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import epollreactor, main
-from twisted.internet.tcp import Connection, Port
+from twisted.internet.tcp import Connection
 from twisted.python import log
 
-from micahold.program.configuration import MAX_ACCEPTS_PER_ITERATION
+from micahold.program.sockets import FrontConnector, FrontPort
 
 # Events handled between two checks of the timers; a longer iteration would make answers late.
 MAX_READY_EVENTS = 16
@@ -27,26 +28,12 @@
 # a single query.
 MAX_UNREAD_S = 0.25
 LATENESS_HALF_LIFE_S = 5.0
+# Bounds the processor time that a failing poll takes.
+FAILED_POLL_DELAY_S = 0.001
 # A poll that took longer than this has blocked: no descriptor was ready when it began.
 MIN_BLOCKING_POLL_S = 0.001
 
 
-class BoundedAcceptPort(Port):
-    """A listening port that accepts a bounded number of connections per reactor iteration.
-
-    Twisted raises the number to hundreds once hundreds of connections wait.
-    """
-
-    @property
-    def numberAccepts(self) -> int:
-        """The number of connections that Twisted accepts per iteration."""
-        return MAX_ACCEPTS_PER_ITERATION
-
-    @numberAccepts.setter
-    def numberAccepts(self, number: int) -> None:
-        """Ignores the values that Twisted assigns, so that the bound stays."""
-
-
 class FrontReactor(epollreactor.EPollReactor):
     """An epoll reactor whose iteration is one poll and one pass over the descriptors that are ready."""
 
@@ -56,18 +43,32 @@
     def __init__(self) -> None:
         self._unsent_writers: dict[Any, None] = {}
         self._iteration_end_calls: list[Callable[[], None]] = []
+        self.failed_calls: Counter[str] = Counter()  # system calls that failed and were made again
         # Times of the reactor's clock: of the last poll that returned all ready descriptors; since when the
         # data of this iteration may have been readable; of the return of the last poll.
         self._drained_at = self._unread_since = self._poll_returned_at = 0.0
         self._lateness = 0.0
         super().__init__()  # type: ignore[no-untyped-call]
 
-    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> BoundedAcceptPort:
-        """Listens as Twisted's reactor does, with a bounded number of accepts per iteration."""
-        listener = BoundedAcceptPort(port, factory, backlog, interface, self)
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> FrontPort:
+        """Listens as Twisted's reactor does, with transports that outlast failing system calls."""
+        listener = FrontPort(port, factory, backlog, interface, self)
         listener.startListening()
         return listener
 
+    def connectTCP(
+        self, host: str, port: int, factory: Any, timeout: float = 30, bindAddress: Any = None
+    ) -> Any:
+        """Connects as Twisted's reactor does, with transports that outlast failing system calls."""
+        connector = FrontConnector(host, port, factory, timeout, bindAddress, self)
+        connector.connect()
+        return connector
+
+    def record_failed_call(self, call: str, error: OSError) -> None:
+        """Counts a system call that failed and is made again."""
+        name = errno.errorcode.get(error.errno or 0, str(error.errno))
+        self.failed_calls[f"failed_{call}_{name}"] += 1
+
     def addWriter(self, writer: Any) -> None:
         """Queues a connected socket to be sent at the end of the iteration; registers others with epoll."""
         if isinstance(writer, Connection) and writer.connected:
@@ -128,6 +129,8 @@
                 if descriptor == -1:
                     continue
                 self._doReadOrWrite(writer, descriptor, epollreactor.EPOLLOUT)  # type: ignore[no-untyped-call]
+                if getattr(writer, "writes_suspended", False):
+                    continue
                 left = writer.offset < len(writer.dataBuffer) or writer._tempDataLen
                 if left and writer.connected and writer.fileno() != -1:
                     self._unsent_writers.pop(writer, None)
@@ -143,9 +146,9 @@
         try:
             ready = self._poller.poll(-1 if timeout is None else timeout, MAX_READY_EVENTS)
         except OSError as error:
-            if error.errno == errno.EINTR:
-                return
-            raise
+            self.record_failed_call("epoll_wait", error)
+            time.sleep(FAILED_POLL_DELAY_S)  # it may fail many times in a row
+            return
         now = self.seconds()
         elapsed = now - self._poll_returned_at
         iteration_s = poll_began_at - self._poll_returned_at
--- /dev/null
+++ b/micahold/program/sockets.py
@@ -0,0 +1,142 @@
+"""TCP transports that outlast failing system calls: a shortage of the machine ends no connection.
+
+A call that fails for want of memory or buffers, or that a signal interrupted, is made again shortly. In
+between the descriptor is not polled, since it would be reported as ready at once and use up the processor.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import Any
+
+from twisted.internet import main
+from twisted.internet.tcp import Client, Connector, Port, Server
+from twisted.python import log
+
+from micahold.program.configuration import MAX_ACCEPTS_PER_ITERATION
+
+# Until a failed call is made again.
+RETRY_DELAY_S = 0.01
+# recv(2) and send(2): the connection is whole, and the call may succeed later.
+TRANSIENT_ERRORS = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EINTR})
+
+
+class RetryingTransport:
+    """Mixin of Twisted's connections: makes reads and writes again that failed for a moment."""
+
+    socket: socket.socket
+    bufferSize: int
+    SEND_LIMIT: int
+    connected: int
+    reactor: Any
+    reads_suspended = False
+    writes_suspended = False
+
+    def doRead(self) -> Any:
+        """Reads what has arrived; returns an error only if the connection is broken."""
+        try:
+            data = self.socket.recv(self.bufferSize)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            if error.errno not in TRANSIENT_ERRORS:
+                return main.CONNECTION_LOST
+            self._suspend_reads()
+            return None
+        return self._dataReceived(data)  # type: ignore[attr-defined]
+
+    def writeSomeData(self, data: bytes) -> Any:
+        """Writes as much as the socket takes; returns the number of bytes, or an error if it is broken."""
+        try:
+            return self.socket.send(memoryview(data)[: self.SEND_LIMIT])
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            if error.errno not in TRANSIENT_ERRORS:
+                return main.CONNECTION_LOST
+            self._suspend_writes()
+            return 0
+
+    def _suspend_reads(self) -> None:
+        self.reads_suspended = True
+        self.reactor.removeReader(self)
+        self.reactor.callLater(RETRY_DELAY_S, self._resume_reads)
+
+    def _resume_reads(self) -> None:
+        self.reads_suspended = False
+        if self.connected and not self.disconnecting:  # type: ignore[attr-defined]
+            self.reactor.addReader(self)
+
+    def _suspend_writes(self) -> None:
+        self.writes_suspended = True
+        self.reactor.removeWriter(self)
+        self.reactor.callLater(RETRY_DELAY_S, self._resume_writes)
+
+    def _resume_writes(self) -> None:
+        self.writes_suspended = False
+        if self.connected:
+            self.reactor.addWriter(self)
+
+
+class FrontServerTransport(RetryingTransport, Server):
+    """An accepted connection."""
+
+
+class FrontClientTransport(RetryingTransport, Client):
+    """A connection that the front makes."""
+
+
+class FrontConnector(Connector):
+    """Makes one connection with a ``FrontClientTransport``."""
+
+    def _makeTransport(self) -> FrontClientTransport:
+        return FrontClientTransport(  # type: ignore[no-untyped-call]
+            self.host, self.port, self.bindAddress, self, self.reactor
+        )
+
+
+class FrontPort(Port):
+    """A listening port that accepts a bounded number of connections per reactor iteration.
+
+    When accept(2) fails, the port rests for ``RETRY_DELAY_S`` and stays open: the errors of a single
+    connection, of the network below it and of a shortage of descriptors or memory all pass.
+    """
+
+    transport = FrontServerTransport
+
+    def doRead(self) -> None:
+        """Accepts the connections that wait."""
+        for _ in range(MAX_ACCEPTS_PER_ITERATION):
+            try:
+                connection, address = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._rest(error)
+                return
+            try:
+                self._start_session(connection, address)
+            except Exception:
+                connection.close()
+                log.err()
+
+    def _start_session(self, connection: socket.socket, address: Any) -> None:
+        factory: Any = self.factory
+        protocol = factory.buildProtocol(self._buildAddr(address))  # type: ignore[no-untyped-call]
+        if protocol is None:
+            connection.close()
+            return
+        session_number = self.sessionno
+        self.sessionno = session_number + 1
+        transport: Any = self.transport(connection, protocol, address, self, session_number, self.reactor)
+        protocol.makeConnection(transport)
+
+    def _rest(self, error: OSError) -> None:
+        self.reactor.record_failed_call("accept", error)
+        self.stopReading()  # type: ignore[no-untyped-call]
+        self.reactor.callLater(RETRY_DELAY_S, self._resume)
+
+    def _resume(self) -> None:
+        if self.connected and not self.disconnecting:
+            self.startReading()  # type: ignore[no-untyped-call]
