Key files outlast a kill at any byte, a full disk and a failing sync

What operators would see: 'keys make' on a full disk ended in a traceback; a rename that was never synced could be lost after it was acknowledged; a temporary file left by a kill kept its old mode for a secret. Cause: _write_atomically let OSError through, did not sync the folder, and reused what it found.

--- a/micahold/membership/signing.py
+++ b/micahold/membership/signing.py
@@ -10,7 +10,6 @@
 
 import base64
 import binascii
-import os
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -22,6 +21,7 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey, Ed25519PublicKey
 from cryptography.hazmat.primitives.serialization import Encoding, NoEncryption, PrivateFormat, PublicFormat
 
+from micahold.membership.durable_file import replace_file
 from micahold.membership.keyring import Keyring, PublicKey
 
 MAX_KEY_FILE_BYTES = 1 << 20  # size of a key file
@@ -202,18 +202,12 @@
     return text + ")"
 
 
-def _write_atomically(path: str, text: str, mode: int) -> None:
-    """Write a temporary file beside ``path`` and rename it, so that a reader never sees a partial file.
-
-    The temporary file is created with ``mode``, so that a secret is never readable by other users.
-    """
-    temporary_path = f"{path}.new"
-    descriptor = os.open(temporary_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, mode)
-    with os.fdopen(descriptor, "w") as file:
-        file.write(text)
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(temporary_path, path)
+def _write_key_file(path: str, text: str, mode: int) -> None:
+    """Replaces a key file; raises ``KeyFileError`` where it can't be written, and then the old one stays."""
+    try:
+        replace_file(path, text.encode(), mode)
+    except OSError as error:
+        raise KeyFileError(f"{path}: cannot be written: {error.strerror}") from None
 
 
 def write_signing_keys(path: str, keys: Iterable[SigningKey]) -> None:
@@ -222,7 +216,7 @@
         _format_key(signing_key.key_id, signing_key.seed, signing_key.since, signing_key.until)
         for signing_key in keys
     ]
-    _write_atomically(path, "; secret: this member's own keys\n" + "\n".join(lines) + "\n", 0o600)
+    _write_key_file(path, "; secret: this member's own keys\n" + "\n".join(lines) + "\n", 0o600)
 
 
 def write_public_keys(path: str, keys: Iterable[PublicKey]) -> None:
@@ -237,4 +231,4 @@
             for public_key in keys_by_member[name]
         ]
         lines.append(f"(member {name}\n  " + "\n  ".join(formatted) + ")")
-    _write_atomically(path, "\n".join(lines) + "\n", 0o644)
+    _write_key_file(path, "\n".join(lines) + "\n", 0o644)
