Exit codes of the command line reach the shell, and odd text is an error with its place

Cause: with standalone_mode off click returns the code of Context.exit, which run() dropped; two modules listed what sexpdata raises, each incompletely. Change: run() returns it; protocol/s_expressions.py is the one place that knows the parser's failures.

--- a/micahold/commands/cli.py
+++ b/micahold/commands/cli.py
@@ -48,7 +48,8 @@
 def run() -> int:
     """Runs the command line; the exit code is 0 for success, 1 for an error found, 2 for an unusable call."""
     try:
-        main.main(prog_name="micahold", standalone_mode=False)
+        # Without the standalone mode click returns the code of ``Context.exit`` instead of raising it.
+        result = main.main(prog_name="micahold", standalone_mode=False)
     except click.ClickException as error:
         error.show()
         return error.exit_code
@@ -61,4 +62,4 @@
         extra = extra_of_package.get((error.name or "").partition(".")[0], "operator")
         print(f"micahold: {error.name} is missing: pip install 'micahold[{extra}]'", file=sys.stderr)
         return 2
-    return 0
+    return result if isinstance(result, int) else 0
--- a/micahold/membership/signing.py
+++ b/micahold/membership/signing.py
@@ -23,10 +23,10 @@
 
 from micahold.membership.durable_file import replace_file
 from micahold.membership.keyring import Keyring, PublicKey
+from micahold.protocol.s_expressions import SExpressionError, parse_s_expressions
 
 MAX_KEY_FILE_BYTES = 1 << 20  # size of a key file
 MAX_CACHED_KEYS = 8192  # parsed public keys that are cached
-SEXP_SYNTAX_ERRORS = (sexpdata.ExpectNothing, sexpdata.ExpectSExp, sexpdata.ExpectClosingBracket)
 
 
 class KeyFileError(Exception):
@@ -113,10 +113,10 @@
         data = Path(path).read_bytes()
         if len(data) > MAX_KEY_FILE_BYTES:
             raise KeyFileError(f"{path}: more than {MAX_KEY_FILE_BYTES} bytes")
-        expressions: list[Any] = sexpdata.parse(data.decode())
+        expressions = parse_s_expressions(data.decode())
     except OSError as error:
         raise KeyFileError(f"{path}: cannot be read: {error.strerror}") from None
-    except (ValueError, AssertionError, IndexError, *SEXP_SYNTAX_ERRORS):
+    except (UnicodeDecodeError, SExpressionError):
         raise KeyFileError(f"{path}: cannot be parsed as S-expressions") from None
     return expressions
 
--- a/micahold/program/operator_file.py
+++ b/micahold/program/operator_file.py
@@ -16,10 +16,10 @@
 
 from micahold.program import units
 from micahold.program.operator_settings import OperatorSettings
+from micahold.protocol.s_expressions import SExpressionError, parse_s_expressions
 
 MAX_FILE_BYTES = 1 << 20
 INVALID = object()  # stands for a value that could not be read and whose error is recorded
-SEXP_ERRORS = (sexpdata.ExpectNothing, sexpdata.ExpectSExp, sexpdata.ExpectClosingBracket)
 
 
 class OperatorFileError(Exception):
@@ -114,11 +114,11 @@
     """All top-level expressions; ``OperatorFileError`` where brackets or strings do not match."""
     try:
         lines = expression_lines(text)
-        values = sexpdata.parse(text, true=None, false=None, nil=None)
+        values = parse_s_expressions(text, true=None, false=None, nil=None)
         return [_locate(value, line) for value, line in zip(values, lines, strict=True)]
     except UnbalancedError as error:
         raise OperatorFileError([f"{name}:{error.line}: found {error.found}"]) from None
-    except (*SEXP_ERRORS, ValueError, TypeError, AssertionError, IndexError, RecursionError):
+    except (SExpressionError, ValueError, IndexError, RecursionError):
         raise OperatorFileError([f"{name}:1: found text that is not an S-expression"]) from None
 
 
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -134,6 +134,11 @@
         assert error.problems and all(problem.startswith("file:") for problem in error.problems)
 
 
+@pytest.mark.parametrize("text", ['\\;"', '"\\', "'", "(\\", '#"'])
+def test_text_that_the_parser_fails_on_is_one_error_with_its_place(text: str) -> None:
+    assert all(problem.startswith("file:") for problem in problems(text))
+
+
 @given(st.lists(st.sampled_from(["(a", ")", '"s\n"', "w", "; c\n", "\n"]), max_size=20))
 def test_each_expression_has_a_line_within_the_text(parts: list[str]) -> None:
     text = " ".join(parts)
