An empty read between CR and LF of the event stream leaves the line end whole

What was seen: two events where the same bytes in one piece are one; not seen at the channel. Cause: feed() forgot at an empty read that a line feed may still follow. Change: an empty read returns at once.

--- a/micahold/protocol/event_stream.py
+++ b/micahold/protocol/event_stream.py
@@ -36,10 +36,12 @@
 
         Raises ``ProtocolError`` if a line or the data of an event is too long.
         """
-        if self._skip_line_feed and data:
+        if not data:
+            return []  # a line feed may still follow
+        ends_in_carriage_return = data.endswith(b"\r")
+        if self._skip_line_feed:
             data = data.removeprefix(b"\n")
-            self._skip_line_feed = False
-        self._skip_line_feed = data.endswith(b"\r")
+        self._skip_line_feed = ends_in_carriage_return
         self._buffer += data
         *lines, rest = bytes(self._buffer).replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
         self._buffer = bytearray(rest)
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -20,6 +20,12 @@
 ]
 
 
+def test_empty_read_between_carriage_return_and_line_feed_changes_nothing() -> None:
+    parser = EventStreamParser()
+    events = parser.feed(b"data: a\r") + parser.feed(b"") + parser.feed(b"\ndata: b\n\n")
+    assert events == [ServerSentEvent(b"", b"a\nb")]
+
+
 def test_events_are_parsed_from_every_split() -> None:
     for split in range(len(STREAM) + 1):
         parser = EventStreamParser()
