A request that was read is answered before its connection is closed

Cause: four closes dropped what had been read. A session that sent too much ahead, or met an error of ours, was closed with its open query unanswered; at the exit a query behind another in the buffer went with its session; an idle session was closed over a query that had arrived and was not read yet, by its timeout, to make room, or at the exit. Change: an error that closes a session is the answer to its open query; at the exit what is read is refused (1040, never forwarded); before an idle session is closed, what has arrived on it is read. The test of an error of ours now also checks the answer and the log of the close.

--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -128,6 +128,7 @@
             configuration.max_client_connections,
             clock.max_read_delay,
             configuration.max_client_bytes,
+            clock.read_pending,
         )
         self.channel = CommandChannel(
             clock, configuration.channel, configuration.cursor, self._apply_list_event, counters, log
@@ -256,7 +257,7 @@
             self.log("given_up_at_exit", queries=self.exchange.unanswered_count)
             self.exchange.fail_open_queries("server shutdown in progress")
         self.channel.stop()
-        self.sessions.close_idle()
+        self.sessions.close_at_exit()
         self._flush_deadline = self.clock.seconds() + FLUSH_TIMEOUT_S
         self._await_sessions()
 
--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -64,6 +64,12 @@
         connector.connect()
         return connector
 
+    def read_pending(self, transport: Any) -> None:
+        """Reads at once what has arrived on a connection."""
+        descriptor = transport.fileno()
+        if descriptor in self._reads:
+            self._doReadOrWrite(transport, descriptor, epollreactor.EPOLLIN)  # type: ignore[no-untyped-call]
+
     def record_failed_call(self, call: str, error: OSError) -> None:
         """Counts a system call that failed and is made again."""
         name = errno.errorcode.get(error.errno or 0, str(error.errno))
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from hashlib import blake2b
+from heapq import nsmallest
 from math import inf
 from typing import Any
 from typing import Protocol as TypingProtocol
@@ -52,6 +53,8 @@
 CLOSE_TIMEOUT_S = 1.0
 # A session that has been without a query for less than this is not closed to make room for another.
 MIN_EVICTION_AGE_S = 0.02
+# Sessions that are tried when one has to make room: a query may have just arrived on some.
+MAX_EVICTION_TRIES = 4
 # A session with this many unusable queries is closed.
 MAX_UNUSABLE_QUERIES = 3
 
@@ -153,7 +156,7 @@
             self._close_with_error(ER_NET_PACKET_TOO_LARGE, str(error))
         except Exception as error:  # closes this session only
             self.sessions.log("session_error", error=repr(error), connection=self.connection_id)
-            self._close()
+            self._close_with_error(ER_UNKNOWN_ERROR, "internal error")
         if not self._update_buffered_bytes():
             # Guards against many clients that each send a little less than the limit of one session.
             self.sessions.counters.add("client_memory_short")
@@ -193,9 +196,9 @@
         if self._closing:
             self.abort()
         elif self._has_sent_command and not self._reader.buffered_bytes:
-            self.sessions.counters.add("client_sessions_idle")
-            self._log_close("idle")
-            self._close()
+            if self.close_if_idle():
+                self.sessions.counters.add("client_sessions_idle")
+                self._log_close("idle")
         else:
             self.sessions.counters.add("client_sessions_silent")
             self._close_with_error(ER_NET_READ_INTERRUPTED, "Got timeout reading communication packets")
@@ -210,13 +213,13 @@
         return self._has_sent_command
 
     def _close_with_error(self, code: int, text: str) -> None:
-        """Closes the session; the error is sent only if no query is open."""
+        """Closes the session after an error, which is the answer to the open query if there is one."""
         if self._closing:
             return
         self._log_close(text)
-        if self.query_number is None:
-            self._sequence = self._sequence or 1
-            self._send(error_payload(code, text))
+        self._drop_query()
+        self._sequence = self._sequence or 1
+        self._send(error_payload(code, text))
         self._close()
 
     def _log_close(self, reason: str) -> None:
@@ -265,10 +268,19 @@
         transport.unregisterProducer()
         transport.loseConnection()
 
-    def close_if_idle(self) -> None:
-        """Closes the session if no query is open."""
+    def close_if_idle(self) -> bool:
+        """Closes the session if no query is open; False if it stays open.
+
+        What the client has sent by now is read first, since a query that arrived before the close is owed
+        an answer.
+        """
         if self.query_number is None and not self._closing:
-            self._close()
+            self.sessions.read_pending(self.transport)
+            self.dataReceived(b"")  # packets that wait for a later reactor turn
+        if self.query_number is not None or self._closing:
+            return False
+        self._close()
+        return True
 
     def abort(self) -> None:
         """Closes the connection with a TCP reset; pending data is discarded."""
@@ -337,6 +349,10 @@
             )
             return
         self.sessions.counters.add("queries_received")
+        if self.sessions.is_closing:
+            self.sessions.counters.add("queries_refused_at_exit")
+            self._send(error_payload(ER_CON_COUNT_ERROR, "Server shutdown in progress"))
+            return
         try:
             waited = float(self.sessions.clock.seconds()) - self._arrived_at
             self.query_number = self.sessions.handler.submit(parse_query(text), self, waited)
@@ -414,8 +430,14 @@
         max_sessions: int,
         unread_for: Callable[[], float] = lambda: 0.0,
         max_buffered_bytes: int = 4 * 1024 * 1024,
+        read_pending: Callable[[Any], None] = lambda transport: None,
     ) -> None:
-        """``unread_for`` returns for how many seconds the data being read now may have been waiting."""
+        """``unread_for`` returns for how many seconds the data being read now may have been waiting.
+
+        ``read_pending`` reads at once what has arrived on a transport, without a wait.
+        """
+        self.read_pending = read_pending
+        self.is_closing = False
         self.unread_for = unread_for
         self.buffered_bytes = 0  # received by all sessions together and not processed yet
         self.max_buffered_bytes = max_buffered_bytes
@@ -479,15 +501,15 @@
         """
         now = self.clock.seconds()
         evictable = (session for session in self._sessions.values() if session.is_evictable(now))
-        oldest = min(
-            evictable, key=lambda session: (session.has_sent_command, session.idle_since), default=None
+        oldest = nsmallest(
+            MAX_EVICTION_TRIES, evictable, key=lambda session: (session.has_sent_command, session.idle_since)
         )
-        if oldest is None:
+        evicted = next((session for session in oldest if session.close_if_idle()), None)
+        if evicted is None:
             return False
         self.counters.add("client_sessions_gave_way")
-        self.log("session_closed", connection=oldest.connection_id, reason="evicted", query_open=False)
-        oldest.close_if_idle()
-        self.unregister(oldest)
+        self.log("session_closed", connection=evicted.connection_id, reason="evicted", query_open=False)
+        self.unregister(evicted)
         return True
 
     def unregister(self, session: ClientSession) -> None:
@@ -504,8 +526,9 @@
         """Number of open sessions."""
         return len(self._sessions)
 
-    def close_idle(self) -> None:
-        """Closes all sessions without an open query."""
+    def close_at_exit(self) -> None:
+        """Refuses every query that is read from now on, and closes all sessions without an open one."""
+        self.is_closing = True
         for session in list(self._sessions.values()):
             session.close_if_idle()
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -218,7 +218,8 @@
     harness.handler.error = RuntimeError("x")
     session.dataReceived(query_with_fields())
     assert transport.disconnecting
-    assert harness.log_events == ["session_error"]
+    assert error_of(transport.take_written()).code == 1105
+    assert harness.log_events == ["session_error", "session_closed"]
     harness.handler.error = None
     other.dataReceived(query_with_fields())
     assert len(harness.handler.queries) == 1
@@ -240,6 +241,48 @@
         session.dataReceived(bytes(10_000))
     assert transport.disconnecting
     assert harness.handler.dropped == [1]
+    assert error_of(transport.take_written()).code == 1153  # the answer to the open query
+
+
+def test_query_that_waits_behind_another_is_refused_when_the_front_exits() -> None:
+    harness = SessionHarness()
+    session, transport = harness.connect_and_log_in()
+    session.dataReceived(query_with_fields(1) + query_with_fields(2) + query_with_fields(3))
+    harness.handler.replies[0].fail("server shutdown in progress")
+    transport.take_written()
+    harness.sessions.close_at_exit()
+    answers = decode_packets(transport.take_written())
+    assert [int.from_bytes(payload[1:3], "little") for _, payload in answers] == [1040, 1040]
+    assert transport.disconnecting
+    assert len(harness.handler.queries) == 1
+
+
+def test_query_that_arrives_as_its_idle_session_is_closed_is_answered() -> None:
+    harness = SessionHarness()
+    session, transport = harness.connect_and_log_in()
+    session.dataReceived(command_packet(0x0E))
+    harness.sessions.read_pending = lambda closing: session.dataReceived(query_with_fields())
+    assert not session.close_if_idle()
+    assert len(harness.handler.queries) == 1
+    harness.handler.replies[0].fail("x")
+    assert error_of(transport.take_written()[11:]).text == "x"
+    assert not transport.disconnecting
+
+
+def test_session_on_which_a_query_has_just_arrived_does_not_make_room() -> None:
+    harness = SessionHarness(max_sessions=2)
+    asking, asking_transport = harness.connect_and_log_in()
+    _, idle_transport = harness.connect_and_log_in()
+    harness.clock.advance(2 * MIN_EVICTION_AGE_S)
+
+    def read_pending(transport: Any) -> None:
+        if transport is asking_transport:
+            asking.dataReceived(query_with_fields())
+
+    harness.sessions.read_pending = read_pending
+    harness.connect()
+    assert not asking_transport.disconnecting and len(harness.handler.queries) == 1
+    assert idle_transport.disconnecting
 
 
 def test_commands_of_a_slow_reader_wait_until_it_has_read() -> None:
--- a/tests/test_gossip_loopback.py
+++ b/tests/test_gossip_loopback.py
@@ -136,12 +136,14 @@
         wait_until(
             lambda: all(fleet.live_members(name) == set(fleet.names) - {name} for name in fronts), 30.0
         )
-        clients = {name: Client(fleet.ports[name]) for name in fronts}
         answered, number = 0, 0
         for _ in range(8):
             for name in fronts:
                 number += 1
-                answered += len(clients[name].ask(number, b"SELECT rows FROM s_3.t")) == ROWS
+                # A front closes sessions that wait for their first command, so each asks at once.
+                client = Client(fleet.ports[name])
+                answered += len(client.ask(number, b"SELECT rows FROM s_3.t")) == ROWS
+                client.close()
         assert answered == number
         wait_until(
             lambda: (
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -173,6 +173,9 @@
     def max_read_delay(self) -> float:
         return 0.0
 
+    def read_pending(self, transport: Any) -> None:
+        """Nothing waits to be read in memory."""
+
     def timer_lateness(self) -> float:
         return 0.0
 
