--- a/micahold/laboratory/emulated_channel.py
+++ b/micahold/laboratory/emulated_channel.py
@@ -22,6 +22,7 @@
         self.port = 0
         self.cursor = cursor
         self.subscriptions = 0
+        self.silent = False  # connections stay open and carry nothing
         self._events: list[tuple[int, str]] = []
         self._listener: asyncio.Server | None = None
 
@@ -51,6 +52,9 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
             silent_s = 0.0
             while not writer.is_closing():
+                if self.silent:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+                    continue
                 for number, data in [event for event in self._events if event[0] > last_sent]:
                     writer.write(f"id: {number}\ndata: {data}\n\n".encode())
                     last_sent = number
--- a/micahold/laboratory/emulated_engine.py
+++ b/micahold/laboratory/emulated_engine.py
@@ -15,11 +15,14 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 
+from micahold.laboratory.tcp_state import peer_has_closed
+
 LEASE_S = 2.0
 HOLD_S = 0.25
 # Every time limit of the protocol may run this much longer.
 LIMIT_TOLERANCE_S = 0.05
 DEFAULT_WORK_S = 0.02
+CHECK_INTERVAL_S = 0.01
 RESULT_PAGES = (b"a\t1\tx\nb\t2\ty\n", b"c\t3\t\n")
 RESULT_ROWS = [(b"a", b"1", b"x"), (b"b", b"2", b"y"), (b"c", b"3", b"")]
 # The statement names its duration, as in SELECT work_1500 FROM ...
@@ -151,8 +154,10 @@
         self._connections[writer] = ""
         try:
             while (request := await _read_request(reader)) is not None:
-                while self.faults.stop_reading:
-                    await asyncio.sleep(0.01)
+                if self.faults.stop_reading:
+                    await self._wait_until_reading()
+                    if peer_has_closed(writer):
+                        return  # the bytes went with their connection
                 await self._handle(request, writer)
         except (ConnectionError, OSError, asyncio.CancelledError):
             pass  # the end of the connection, or of the run
@@ -160,6 +165,10 @@
             self._connections.pop(writer, None)
             writer.close()
 
+    async def _wait_until_reading(self) -> None:
+        while self.faults.stop_reading:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
     async def _handle(self, request: _Request, writer: asyncio.StreamWriter) -> None:
         if request.method == "POST":
             query_id = request.headers["via-id"]
@@ -205,14 +214,14 @@
             lapses_at = query.lease_from + LEASE_S + LIMIT_TOLERANCE_S
             remaining_s = lapses_at - time.monotonic()
             if remaining_s <= 0:
-                self._end(query, "lapsed")
+                self._end(query, "lapsed", lapses_at)
                 self._queries.pop(query_id, None)
                 return
             await asyncio.sleep(remaining_s)
 
-    def _end(self, query: _RunningQuery, ending: str) -> None:
+    def _end(self, query: _RunningQuery, ending: str, at: float | None = None) -> None:
         if not query.over.is_set():
-            query.record.ended_at = time.monotonic()
+            query.record.ended_at = at if at is not None else time.monotonic()
             query.record.ending = ending
             query.over.set()
 
@@ -239,7 +248,7 @@
         query.lease_from = held_until
         while (now := time.monotonic()) < min(held_until, query.ends_at) and not query.over.is_set():
             await asyncio.sleep(min(held_until, query.ends_at) - now)
-        query.lease_from = time.monotonic()
+        query.lease_from = min(held_until, time.monotonic())
         if query.over.is_set() and query.record.ending != "ok":
             self._respond(writer, "500 Ended")
         elif now < query.ends_at:
--- a/micahold/laboratory/loopback_site.py
+++ b/micahold/laboratory/loopback_site.py
@@ -10,6 +10,7 @@
 
 from micahold.laboratory.emulated_channel import EmulatedChannel, member
 from micahold.laboratory.emulated_engine import EmulatedEngine
+from micahold.laboratory.fault_proxy import FaultProxy
 from micahold.laboratory.front_process import FrontProcess
 from micahold.laboratory.record_checker import RuleLimits, RunRecords, Violation, check_records
 from micahold.laboratory.sql_client import QueryIds, QueryRecord, SqlSession
@@ -27,7 +28,7 @@
     settings: dict[str, Any] = {
         "name": name,
         "effect": effect,
-        "aim_ns": NS_PER_S,
+        "aim_ns": round(min(1.0, deadline_s / 4) * NS_PER_S),
         "deadline_ns": round(deadline_s * NS_PER_S),
         "worth": 1.0,
     }
@@ -75,6 +76,7 @@
         classes: tuple[dict[str, Any], ...] = DEFAULT_CLASSES,
         seed: int = 1,
         sockets: int = 1024,
+        proxied: bool = False,
         **setting_changes: Any,
     ) -> None:
         self.random = Random(seed)
@@ -90,6 +92,9 @@
             max_attempts=6,
         )
         self.unavailable: dict[str, list[tuple[float, float]]] = {}
+        self.proxies: dict[str, FaultProxy] = {}  # by engine, if all calls go through proxies
+        self._proxied = proxied
+        self._phases: dict[str, str] = {}  # of each engine in the list
         self._folder = folder
         self._front_count = fronts
         self._sockets = sockets
@@ -100,15 +105,19 @@
     async def __aenter__(self) -> Self:
         for engine in self.engines:
             await engine.start()
+            if self._proxied:
+                self.proxies[engine.name] = FaultProxy(engine.port)
+                await self.proxies[engine.name].start()
         await self.channel.start()
-        members = [member(engine.name, engine.port) for engine in self.engines]
-        nodes = {"revision": FIRST_CURSOR, "complete": True, "members": members}
+        for engine in self.engines:
+            self._phases[engine.name] = "Ready"
+        known = self.known_list()
         for index in range(self._front_count):
             configuration = {
                 "seed": f"{self.random.getrandbits(64):016x}",
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self._sockets},
                 "channel": f"127.0.0.1:{self.channel.port}",
-                "known": {"cursor": FIRST_CURSOR, "cmds": [{"cursor": FIRST_CURSOR, "nodes": nodes}]},
+                "known": known,
                 "settings": {**self._settings, "my_number": index},
             }
             front = FrontProcess(f"n{index + 1}", self._folder, configuration)
@@ -129,10 +138,28 @@
     async def __aexit__(self, *exception: object) -> None:
         for front in self.fronts:
             front.kill()
+        for proxy in self.proxies.values():
+            await proxy.stop()
         for engine in self.engines:
             await engine.stop()
         await self.channel.stop()
 
+    def known_list(self) -> dict[str, Any]:
+        """The whole list as a front gets it in its configuration."""
+        members = [
+            member(engine.name, self.published_port(engine), self._phases[engine.name])
+            for engine in self.engines
+            if self._phases[engine.name] != "Gone"
+        ]
+        cursor = self.channel.cursor
+        nodes = {"revision": cursor, "complete": True, "members": members}
+        return {"cursor": cursor, "cmds": [{"cursor": cursor, "nodes": nodes}]}
+
+    def published_port(self, engine: EmulatedEngine) -> int:
+        """The port under which the list names an engine."""
+        proxy = self.proxies.get(engine.name)
+        return proxy.port if proxy is not None else engine.port
+
     def engine(self, name: str) -> EmulatedEngine:
         """The engine of that name."""
         return next(engine for engine in self.engines if engine.name == name)
@@ -169,13 +196,14 @@
     def list_as(self, engine: EmulatedEngine, phase: str) -> None:
         """Publishes a state of an engine: Ready, Terminating or Gone."""
         now = time.monotonic()
+        self._phases[engine.name] = phase
         spans = self.unavailable.setdefault(engine.name, [])
         open_span = bool(spans) and spans[-1][1] == float("inf")
         if phase == "Ready" and open_span:
             spans[-1] = (spans[-1][0], now)
         elif phase != "Ready" and not open_span:
             spans.append((now, float("inf")))
-        self.channel.publish(member(engine.name, engine.port, phase))
+        self.channel.publish(member(engine.name, self.published_port(engine), phase))
 
     # Records
 
--- a/micahold/laboratory/preload/sitecustomize.py
+++ b/micahold/laboratory/preload/sitecustomize.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+from micahold.laboratory.planted_faults import PLANT_VARIABLE, PLANTS
 from micahold.laboratory.system_faults import FAULTS_VARIABLE, SHORT, SystemFaults
 
 # Only sockets of the front's own network; the reactor's wake-up pair stays whole.
@@ -131,6 +132,8 @@
     _replace_socket_calls(faults)
     _replace_poll(faults)
     _replace_file_calls(faults)
+    if plant := os.environ.get(PLANT_VARIABLE):
+        PLANTS[plant]()
 
 
 install()
--- a/micahold/laboratory/record_checker.py
+++ b/micahold/laboratory/record_checker.py
@@ -56,8 +56,8 @@
     """What clients and engines recorded of one run.
 
     ``unavailable`` holds, by engine, the spans from the list's event "draining" or "gone" to the next
-    "ready". ``kills`` are the times at which each front was killed without notice, ``ends`` those from which
-    what a front has not answered is not owed: 0.7 s after SIGTERM, on open connections.
+    "ready". ``kills`` are the times at which each front was killed without notice: what was open then is not
+    owed.
     """
 
     queries: list[QueryRecord]
@@ -65,7 +65,6 @@
     limits: RuleLimits
     unavailable: Mapping[str, list[tuple[float, float]]] = field(default_factory=dict)
     kills: Mapping[str, list[float]] = field(default_factory=dict)
-    notice_ends: Mapping[str, list[tuple[float, float]]] = field(default_factory=dict)
 
 
 def check_records(records: RunRecords) -> list[Violation]:
@@ -96,10 +95,8 @@
     owed_until = min(limit, query.answered_at if query.answered_at is not None else inf)
     if any(query.sent_at <= killed_at <= owed_until for killed_at in records.kills.get(query.front, ())):
         return
-    if any(begin <= query.sent_at <= end for begin, end in records.notice_ends.get(query.front, ())):
-        return
     if query.connection_lost_at is not None:
-        crossed = query.resting_s > 0 and query.connection_lost_at - query.sent_at < CROSSING_S
+        crossed = not query.is_first and query.connection_lost_at - query.sent_at < CROSSING_S
         if not crossed:
             after_s = query.connection_lost_at - query.sent_at
             yield Violation("lost", query.query_id, f"connection closed with no answer after {after_s:.3f} s")
--- a/micahold/laboratory/sql_client.py
+++ b/micahold/laboratory/sql_client.py
@@ -36,7 +36,7 @@
     error_text: str = ""
     left_at: float | None = None  # when the client closed or cancelled
     connection_lost_at: float | None = None
-    resting_s: float = 0.0  # how long the connection had been idle before the query
+    is_first: bool = False  # on its connection
 
 
 class SessionLostError(Exception):
@@ -68,7 +68,8 @@
         self.front = front
         self.port = port
         self.connection_id = 0
-        self.idle_since = 0.0
+        self.query_count = 0
+        self.left_at: float | None = None  # when the client closed it or cancelled its query
         self._reader: asyncio.StreamReader
         self._writer: asyncio.StreamWriter
 
@@ -86,7 +87,6 @@
                 raise SessionLostError("login refused")
         except OSError as error:
             raise SessionLostError(str(error)) from None
-        self.idle_since = time.monotonic()
 
     async def _read_packet(self) -> bytes:
         try:
@@ -112,7 +112,8 @@
         if token:
             fields += f",once={token}"
         now = time.monotonic()
-        record = QueryRecord(query_id, class_name, self.front, now, wait_s, resting_s=now - self.idle_since)
+        record = QueryRecord(query_id, class_name, self.front, now, wait_s, is_first=not self.query_count)
+        self.query_count += 1
         self.send(f"/* {fields} */ ".encode() + statement)
         try:
             await asyncio.wait_for(self._read_answer(record), wait_s + LATE_ANSWER_S)
@@ -120,7 +121,8 @@
             self.close()
         except SessionLostError:
             record.connection_lost_at = time.monotonic()
-        self.idle_since = time.monotonic()
+        if record.answer != "served":
+            record.left_at = self.left_at
         return record
 
     async def _read_answer(self, record: QueryRecord) -> None:
--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -48,6 +48,8 @@
         # data of this iteration may have been readable; of the return of the last poll.
         self._drained_at = self._unread_since = self._poll_returned_at = 0.0
         self._lateness = 0.0
+        # Since when data may have waited because polls failed; None once all of it is read.
+        self._polls_failed_since: float | None = None
         super().__init__()  # type: ignore[no-untyped-call]
 
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> FrontPort:
@@ -101,7 +103,10 @@
         query. Data that is ready without a wait arrived after the last poll that returned all ready
         descriptors; data that a blocking poll waited for has just arrived.
         """
-        return max(0.0, min(MAX_UNREAD_S, float(self.seconds()) - self._unread_since))
+        delay = max(0.0, min(MAX_UNREAD_S, float(self.seconds()) - self._unread_since))
+        if self._polls_failed_since is not None:
+            delay = max(delay, float(self.seconds()) - self._polls_failed_since)
+        return delay
 
     def timer_lateness(self) -> float:
         """How late a timer may fire, in seconds: the longest recent iteration, with exponential decay.
@@ -153,6 +158,8 @@
             ready = self._poller.poll(-1 if timeout is None else timeout, MAX_READY_EVENTS)
         except OSError as error:
             self.record_failed_call("epoll_wait", error)
+            if self._polls_failed_since is None:
+                self._polls_failed_since = self._unread_since
             time.sleep(FAILED_POLL_DELAY_S)  # it may fail many times in a row
             return
         now = self.seconds()
@@ -171,6 +178,8 @@
             selectable = self._selectables.get(descriptor)
             if selectable is not None:
                 self._doReadOrWrite(selectable, descriptor, event)  # type: ignore[no-untyped-call]
+        if len(ready) < MAX_READY_EVENTS:
+            self._polls_failed_since = None  # all that waited meanwhile is read
 
     doIteration = doPoll
 
--- a/micahold/program/sockets.py
+++ b/micahold/program/sockets.py
@@ -30,8 +30,9 @@
     SEND_LIMIT: int
     connected: int
     reactor: Any
-    reads_suspended = False
     writes_suspended = False
+    # Since when data may have waited because a call failed, on the reactor's clock; None if none did.
+    unread_since: float | None = None
 
     def doRead(self) -> Any:
         """Reads what has arrived; returns an error only if the connection is broken."""
@@ -44,7 +45,9 @@
                 return main.CONNECTION_LOST
             self._suspend_reads()
             return None
-        return self._dataReceived(data)  # type: ignore[attr-defined]
+        result = self._dataReceived(data)  # type: ignore[attr-defined]
+        self.unread_since = None
+        return result
 
     def writeSomeData(self, data: bytes) -> Any:
         """Writes as much as the socket takes; returns the number of bytes, or an error if it is broken."""
@@ -59,12 +62,12 @@
             return 0
 
     def _suspend_reads(self) -> None:
-        self.reads_suspended = True
+        if self.unread_since is None:
+            self.unread_since = self.reactor.seconds() - self.reactor.max_read_delay()
         self.reactor.removeReader(self)
         self.reactor.callLater(RETRY_DELAY_S, self._resume_reads)
 
     def _resume_reads(self) -> None:
-        self.reads_suspended = False
         if self.connected and not self.disconnecting:  # type: ignore[attr-defined]
             self.reactor.addReader(self)
 
@@ -104,6 +107,8 @@
     """
 
     transport = FrontServerTransport
+    # Since when connections may have waited because accept(2) failed; None once all are accepted.
+    unaccepted_since: float | None = None
 
     def doRead(self) -> None:
         """Accepts the connections that wait."""
@@ -111,6 +116,7 @@
             try:
                 connection, address = self.socket.accept()
             except BlockingIOError:
+                self.unaccepted_since = None
                 return
             except OSError as error:
                 self._rest(error)
@@ -130,10 +136,13 @@
         session_number = self.sessionno
         self.sessionno = session_number + 1
         transport: Any = self.transport(connection, protocol, address, self, session_number, self.reactor)
+        transport.unread_since = self.unaccepted_since
         protocol.makeConnection(transport)
 
     def _rest(self, error: OSError) -> None:
         self.reactor.record_failed_call("accept", error)
+        if self.unaccepted_since is None:
+            self.unaccepted_since = self.reactor.seconds() - self.reactor.max_read_delay()
         self.stopReading()  # type: ignore[no-untyped-call]
         self.reactor.callLater(RETRY_DELAY_S, self._resume)
 
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -128,7 +128,8 @@
         self._last_contact_at = 0.0  # of the last usable response, or the start
         self._listing: EngineListing | None = None
         self._lease = QueryLease()
-        self._known_to_engine = False  # a response has shown that the engine has this query
+        self._known_to_engine = False  # a status response has come
+        self._post_processed = False  # a response has shown that the engine has read the POST
         self._unreadable_count = 0
         self._is_retry = False  # the current call is a repeated GET
         self._has_retried = False
@@ -218,10 +219,14 @@
 
     def _handle_status(self, response: HttpResponse) -> None:
         """Handles the response to the POST or to a status poll."""
+        if self._abort_outcome is not None:
+            self._post_processed = True  # only a POST is still answered by then
+            return
         self._record_response()
         now = self._last_contact_at
         was_known = self._known_to_engine
         self._known_to_engine = True
+        self._post_processed |= not self._is_retry or response.status in (200, 202)
         untouched = response.headers.get(UNTOUCHED_HEADER) == b"1"
         if response.status == 202:
             self.on_alive()
@@ -289,12 +294,16 @@
         A POST is never repeated. Polling keeps a good result when only the first response was unreadable, cut
         off or missing.
         """
+        if self._abort_outcome is not None:
+            return
         if failure.check(CallNotSentError):
             self._finish(Outcome.NOT_STARTED, EndEvidence.NEVER_SENT)
         elif failure.check(ConnectError):
             self._finish(Outcome.CONNECT_FAILED, EndEvidence.NEVER_SENT)
         elif failure.check(CallError):
-            self._retry_get(0, unreadable=failure.check(UnreadableResponseError) is not None)
+            unreadable = failure.check(UnreadableResponseError) is not None
+            self._post_processed |= unreadable
+            self._retry_get(0, unreadable=unreadable)
         else:
             self.abort(Outcome.RESET)
             failure.raiseException()
@@ -377,8 +386,6 @@
         self.log("attempt_aborting", outcome=outcome.value, last_call_s=round(now - self._last_request_at, 4))
         if self._current_call is not None and self._current_call is not post_call:
             self._current_call.abandon()
-        if post_call is not None and not post_call.ended:
-            post_call.abandon()
         self._cancel_timer(self._delayed_request)
         self._send_delete(False)
         self._lease_timer = self.timers.call_later(
@@ -400,11 +407,15 @@
             self.counters.add("engine_deletes_unacknowledged")
             self._repeat_delete(True)
             return
-        post_call = self._post_call
-        if post_call is not None:
-            # An unanswered POST may still be on its way: it must not arrive after its DELETE.
-            post_call.abandon(abort_connection=True)
-        self._finish_aborted(EndEvidence.DELETED)
+        if self._post_processed:
+            self._finish_aborted(EndEvidence.DELETED)
+            return
+        # The DELETE may have overtaken the POST. What of the POST is still on its way is dropped with its
+        # connection, and another DELETE ends what was read meanwhile.
+        self._post_processed = True
+        if self._post_call is not None:
+            self._post_call.abandon(abort_connection=True)
+        self._repeat_delete(False)
 
     def _handle_delete_failure(self, failure: Failure) -> None:
         self._repeat_delete(not failure.check(ConnectError, CallNotSentError))
@@ -445,6 +456,8 @@
         if self._listing is not None:
             self.pools.release_listing(self._listing)
             self._listing = None
+        if self._post_call is not None:
+            self._post_call.abandon()
         self._current_call = self._post_call = None
         self._delayed_request = self._lease_timer = self._expiry_timer = None
 
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -233,7 +233,9 @@
 
     def _earliest_arrival(self) -> float:
         """The earliest time at which the data being read now can have arrived."""
-        return float(self.sessions.clock.seconds()) - self.sessions.unread_for()
+        earliest = float(self.sessions.clock.seconds()) - self.sessions.unread_for()
+        unread_since: float | None = getattr(self.transport, "unread_since", None)
+        return earliest if unread_since is None else min(earliest, unread_since)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._closing = True
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -15,7 +15,12 @@
     AttemptResult,
     EndEvidence,
 )
-from micahold.transport.engine_connection import LATE_READ_GRACE_S, RESPONSE_TIMEOUT_S, REUSE_DELAY_S
+from micahold.transport.engine_connection import (
+    DELETE_REUSE_DELAY_S,
+    LATE_READ_GRACE_S,
+    RESPONSE_TIMEOUT_S,
+    REUSE_DELAY_S,
+)
 from micahold.transport.query_lease import (
     CALL_HOLD_S,
     DELIVERY_DELAY_S,
@@ -193,6 +198,8 @@
     delete_connection = network.connections[2].accept()
     assert delete_connection.transport.take_written() == DELETE
     delete_connection.send(http_response(204))
+    assert not results
+    acknowledge_second_delete(network)
     # CANCELLED does not count against the engine.
     assert [result.outcome for result in results] == [Outcome.CANCELLED]
 
@@ -277,6 +284,17 @@
         network.advance(MIN_POLL_INTERVAL_S / 2)
 
 
+def acknowledge_second_delete(network: EngineHarness) -> None:
+    """Answers the DELETE that follows the first where the POST was never answered."""
+    already_open = len(network.connections)
+    network.advance(2 * DELETE_REUSE_DELAY_S)
+    last = network.connections[-1]
+    if len(network.connections) > already_open:
+        last.accept()
+    assert last.transport.take_written().endswith(DELETE)
+    last.send(http_response(204))
+
+
 def test_engine_that_refuses_connections_after_a_reset_may_still_run_the_query() -> None:
     """A draining engine takes no new connection and runs on: only the lease shows that it is over."""
     network = EngineHarness()
@@ -324,18 +342,35 @@
     assert retry.transport.take_written() == DELETE
     assert not results
     retry.send(http_response(204))
+    assert not results
+    acknowledge_second_delete(network)
     assert [(result.outcome, result.evidence) for result in results] == [
         (Outcome.CANCELLED, EndEvidence.DELETED)
     ]
 
 
-def test_unanswered_post_can_not_arrive_after_its_acknowledged_delete() -> None:
+def test_delete_that_may_have_overtaken_its_post_is_sent_again_before_the_attempt_ends() -> None:
+    """An engine that hangs may read the DELETE before the POST, which waits on another connection."""
     network = EngineHarness()
     attempt, results = network.start_attempt()
     connection = first_connection(network)
     attempt.abort(Outcome.CANCELLED)
     network.connections[1].accept().send(http_response(204))
     assert connection.transport.aborted
+    assert not results
+    acknowledge_second_delete(network)
+    assert [(result.outcome, result.evidence) for result in results] == [
+        (Outcome.CANCELLED, EndEvidence.DELETED)
+    ]
+
+
+def test_one_acknowledged_delete_is_enough_once_the_post_was_answered() -> None:
+    network = EngineHarness()
+    attempt, results = network.start_attempt()
+    connection = first_connection(network)
+    connection.send(http_response(202))
+    attempt.abort(Outcome.CANCELLED)
+    network.connections[1].accept().send(http_response(204))
     assert [result.outcome for result in results] == [Outcome.CANCELLED]
 
 
@@ -363,6 +398,8 @@
     attempt.abort(Outcome.TIMEOUT)
     assert not results
     network.connections[1].accept().send(http_response(204))
+    assert not results
+    acknowledge_second_delete(network)
     assert [result.outcome for result in results] == [Outcome.CANCELLED]
 
 
@@ -479,6 +516,8 @@
     retry = network.connections[2].accept()
     assert retry.transport.take_written() == DELETE
     retry.send(http_response(204))
+    assert not results
+    acknowledge_second_delete(network)
     assert [result.outcome for result in results] == [Outcome.CANCELLED]
 
 
@@ -498,6 +537,8 @@
     connection = first_connection(network)
     first.abort(Outcome.CANCELLED)
     network.connections[1].accept().send(http_response(204))
+    assert not first_results
+    acknowledge_second_delete(network)
     _, second_results = network.start_attempt()
     connection.send(http_response(200, PAGE, X_Sheets="1"))  # the late response to the first attempt
     assert [result.outcome for result in first_results] == [Outcome.CANCELLED]
@@ -564,6 +605,7 @@
             network.connections[1].accept().send(http_response(200, PAGE, X_Sheets="1"))
         if ending in ("cancelled", "expired"):
             network.connections[1].accept().send(http_response(204))
+            acknowledge_second_delete(network)
         assert len(results) == 1
         del attempt
         network.advance(3.0)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -254,7 +254,7 @@
     harness = ExchangeHarness()
     query_number, _ = harness.submit()
     harness.execute(api.Send(query_number, "a"))
-    harness.connections[0].accept()
+    harness.connections[0].accept().send(http_response(202))
     harness.execute(api.Cancel(query_number, 0))
     assert harness.connections[1].accept().transport.take_written().startswith(b"DELETE ")
     harness.connections[1].send(http_response(204))
