A connection to an engine rests 20 ms after a response, so that a late copy answers no other call

Cause: a connection was used again 3 ms after a response, a poll went out after 6 ms, and a second copy of the response that came 8 ms late was taken for the answer to the next call; from then on each response on that connection answered the call before its own. Change: 20 ms, for polls as well. Only a call on a connection that has just been used opens another one. The emulated engine records when a request arrived, not when it was handled. Test: copies 1, 8 and 15 ms late; the two later ones failed before.

--- a/micahold/laboratory/emulated_engine.py
+++ b/micahold/laboratory/emulated_engine.py
@@ -71,6 +71,7 @@
     path: str
     headers: dict[str, str]
     body: bytes
+    arrived_at: float
 
 
 async def _read_request(reader: asyncio.StreamReader) -> _Request | None:
@@ -83,7 +84,7 @@
     except (asyncio.IncompleteReadError, ConnectionError, OSError):
         return None
     method, path, _ = request_line.split(" ")
-    return _Request(method, path, headers, body)
+    return _Request(method, path, headers, body, time.monotonic())
 
 
 class EmulatedEngine:
@@ -188,7 +189,11 @@
             self._respond(writer, "503 Full", "Srv-Untouched: 1\r\n")
             return
         record = AttemptRecord(
-            query_id, request.headers["via-class"], self.name, int(request.headers["via-wait"]) / 1000, now
+            query_id,
+            request.headers["via-class"],
+            self.name,
+            int(request.headers["via-wait"]) / 1000,
+            request.arrived_at,
         )
         self.attempts.append(record)
         if self.faults.fail_queries:
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -36,6 +36,8 @@
 CONTACT_TIMEOUT_S = 2.0
 # Bounds the poll rate when an engine answers 202 immediately instead of holding the request.
 MIN_POLL_INTERVAL_S = 0.05
+# From the response to a poll until the next one, which goes on the same connection.
+POLL_AFTER_RESPONSE_S = 1.1 * REUSE_DELAY_S
 MAX_PAGES = 64
 # Unreadable responses of one attempt, each of which is requested again; one more aborts the attempt.
 MAX_UNREADABLE_RESPONSES = 8
@@ -232,7 +234,7 @@
             self.on_alive()
             # Not immediately: the connection that was just used may not be reused within REUSE_DELAY_S, and
             # the delay avoids opening another one.
-            delay = max(self._last_request_at + MIN_POLL_INTERVAL_S - now, 2 * REUSE_DELAY_S)
+            delay = max(self._last_request_at + MIN_POLL_INTERVAL_S - now, POLL_AFTER_RESPONSE_S)
             self._delayed_request = self.pools.clock.callLater(delay, self._send_get, 0)
         elif response.status == 200:
             self._first_page_response = response
--- a/micahold/transport/engine_connection.py
+++ b/micahold/transport/engine_connection.py
@@ -25,7 +25,7 @@
 LATE_READ_GRACE_S = 0.05
 # Minimum time between a response and the next call on its connection: a duplicate of the response arrives
 # within it and can't be mistaken for the response to the next call.
-REUSE_DELAY_S = 0.003
+REUSE_DELAY_S = 0.02
 # The same after the response to a DELETE, of which a duplicate would acknowledge the next DELETE.
 DELETE_REUSE_DELAY_S = 0.05
 NO_CONTENT = 204
--- a/tests/test_engine_calls.py
+++ b/tests/test_engine_calls.py
@@ -84,6 +84,21 @@
     assert len(network.connections) == 2
 
 
+@pytest.mark.parametrize("late_s", [0.001, 0.008, 0.015])
+def test_duplicate_response_some_milliseconds_late_answers_no_other_call(late_s: float) -> None:
+    """Otherwise all later responses on its connection answer the call before theirs."""
+    network = CallRecorder()
+    network.call("one")
+    connection = network.connections[0].accept()
+    connection.send(http_response(202))
+    network.advance(late_s)
+    network.call("two")
+    connection.send(http_response(202))
+    assert connection.transport.aborted
+    network.connections[1].accept().send(http_response(500))
+    assert network.outcomes == {"one": 202, "two": 500}
+
+
 def test_response_followed_by_garbage_is_delivered_and_its_connection_aborted() -> None:
     network = CallRecorder()
     network.call("one")
