A request that the system does not take is made anew, with the time that is left by then

Cause: the request lay encoded in the transport until a later write took it. Change: the transport tells its protocol; the connection is aborted, so that no part of the request can be read as a whole one, and the call is queued again and encoded at its next first byte. A call keeps its prepare until it ends; the test of that reference now checks it after the response and after an abandon. Test: the POST of 5 s that is written 0.5 s late passes 4,500 ms; there was no second one before.

--- a/micahold/program/sockets.py
+++ b/micahold/program/sockets.py
@@ -30,6 +30,7 @@
     SEND_LIMIT: int
     connected: int
     reactor: Any
+    protocol: Any
     writes_suspended = False
     # Since when data may have waited because a call failed, on the reactor's clock; None if none did.
     unread_since: float | None = None
@@ -75,6 +76,9 @@
         self.writes_suspended = True
         self.reactor.removeWriter(self)
         self.reactor.callLater(RETRY_DELAY_S, self._resume_writes)
+        on_suspended = getattr(self.protocol, "write_suspended", None)
+        if on_suspended is not None:
+            self.reactor.callLater(0, on_suspended)
 
     def _resume_writes(self) -> None:
         self.writes_suspended = False
--- a/micahold/transport/calls.py
+++ b/micahold/transport/calls.py
@@ -59,6 +59,7 @@
         """Ends the call with its response, unless it has already ended."""
         if not self.ended:
             self.ended = True
+            self.prepare = None  # it refers to the caller; dropping it avoids a reference cycle
             self.response.callback(response)
 
     def fail(self, reason: CallError) -> None:
--- a/micahold/transport/connection_pools.py
+++ b/micahold/transport/connection_pools.py
@@ -182,6 +182,10 @@
         """Puts the call back into the queue: the front could not even try to reach the engine."""
         self.open_connections -= 1
         self.counters.add(f"engine_connects_lacked_{errno.errorcode.get(error_number, error_number)}")
+        self.requeue(call)
+
+    def requeue(self, call: Call) -> None:
+        """Queues a call again that was not written; new connections rest for ``LACK_RETRY_DELAY_S``."""
         heappush(self.waiting_calls, (call.due_at, next(self._sequence), call))
         if not self._is_suspended():
             self._suspended_until = self.clock.seconds() + LACK_RETRY_DELAY_S
--- a/micahold/transport/engine_connection.py
+++ b/micahold/transport/engine_connection.py
@@ -74,12 +74,23 @@
         self.current_call = call
         call.connection = self
         call.written = True
-        call.prepare = None  # it refers to the caller; dropping it avoids a reference cycle
         transport.write(request)
         self._response_timer = self.pools.timers.call_later(
             RESPONSE_TIMEOUT_S, self._handle_response_timeout, False
         )
 
+    def write_suspended(self) -> None:
+        """Called when the system did not take the request: it is made anew, since what is left shrinks.
+
+        The connection is aborted, so that no part of the old request is read as a whole one.
+        """
+        call = self.current_call
+        if call is None or call.ended:
+            return
+        self.abort_call()
+        call.written = False
+        self.pools.requeue(call)
+
     def _handle_response_timeout(self, grace_elapsed: bool) -> None:
         """Fails the call and aborts the connection, after a grace period for data that has not been read yet.
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -67,6 +67,18 @@
     assert b"Via-Wait: 3500\r\n" in network.connections[1].accept().transport.take_written()
 
 
+def test_post_that_the_system_does_not_take_is_made_anew_with_what_is_left() -> None:
+    network = EngineHarness()
+    _, results = network.start_attempt(wait=5.0)
+    connection = network.connections[0].accept()
+    connection.protocol.write_suspended()
+    assert connection.transport.aborted
+    network.advance(0.5)
+    assert b"Via-Wait: 4500\r\n" in network.connections[1].accept().transport.take_written()
+    network.connections[1].send(http_response(200, PAGE, X_Sheets="1"))
+    assert [result.outcome for result in results] == [Outcome.OK]
+
+
 def test_repeat_whose_connection_comes_up_after_the_deduplication_window_is_not_sent() -> None:
     network = EngineHarness()
     attempt = network.make_attempt(wait=30.0)
--- a/tests/test_engine_calls.py
+++ b/tests/test_engine_calls.py
@@ -312,12 +312,16 @@
     assert connection.transport.aborted
 
 
-def test_sent_call_holds_no_reference_to_its_caller() -> None:
+def test_ended_call_holds_no_reference_to_its_caller() -> None:
     """Otherwise each attempt is a cycle that only a garbage collection frees, which stalls the front."""
     network = CallRecorder()
     call = network.call("one", prepare=lambda: b"one")
-    network.connections[0].accept()
+    connection = network.connections[0].accept()
+    connection.send(http_response())
     assert call.prepare is None
+    abandoned = network.call("two")
+    abandoned.abandon()
+    assert abandoned.prepare is None
 
 
 def test_pools_without_an_idle_timeout_start_no_sweep() -> None:
