A call without a response may be read until its connection is closed: the lease counts from there

Change: QueryLease counts from the response to a call, or from the end of its connection plus 0.1 s for the way and 0.25 s for the hold.

--- a/micahold/laboratory/fault_proxy.py
+++ b/micahold/laboratory/fault_proxy.py
@@ -73,8 +73,10 @@
             writer.transport.abort()
 
     async def _forward_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.faults.cut:
+            await self._wait_while_cut()
+            return  # it never came up
         await asyncio.sleep(self.faults.late_connect_s)
-        await self._wait_while_cut()
         target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
         try:
             directions = [
--- a/micahold/laboratory/record_checker.py
+++ b/micahold/laboratory/record_checker.py
@@ -57,7 +57,7 @@
 
     ``unavailable`` holds, by engine, the spans from the list's event "draining" or "gone" to the next
     "ready". ``kills`` are the times at which each front was killed without notice: what was open then is not
-    owed.
+    owed. ``cuts`` are the spans, by engine, in which the network held what was sent to it.
     """
 
     queries: list[QueryRecord]
@@ -65,6 +65,7 @@
     limits: RuleLimits
     unavailable: Mapping[str, list[tuple[float, float]]] = field(default_factory=dict)
     kills: Mapping[str, list[float]] = field(default_factory=dict)
+    cuts: Mapping[str, list[tuple[float, float]]] = field(default_factory=dict)
 
 
 def check_records(records: RunRecords) -> list[Violation]:
@@ -79,7 +80,7 @@
         violations += check_overlap(query.query_id, attempts)
         violations += check_repeats(query, attempts, records.limits)
         violations += check_left_clients(query, attempts)
-        violations += check_passed_deadlines(query, attempts)
+        violations += check_passed_deadlines(query, attempts, records)
     for query_id in attempts_by_query:
         violations.append(Violation("lost", query_id, "no client sent this query"))
     violations += check_drains(records)
@@ -142,9 +143,14 @@
             yield Violation("lost", query.query_id, f"an attempt began {after_s:.3f} s after the client left")
 
 
-def check_passed_deadlines(query: QueryRecord, attempts: list[AttemptRecord]) -> Iterable[Violation]:
-    """The deadline passed to an engine is at most what the client has left."""
+def check_passed_deadlines(
+    query: QueryRecord, attempts: list[AttemptRecord], records: RunRecords
+) -> Iterable[Violation]:
+    """The deadline passed to an engine is at most what the client has left, but for the network's delay."""
     for attempt in attempts:
+        cuts = records.cuts.get(attempt.engine, ())
+        if any(begin <= attempt.began_at <= end + LIMIT_SLACK_S for begin, end in cuts):
+            continue
         left_s = query.sent_at + query.wait_s - attempt.began_at
         if attempt.wait_s > left_s + PASSED_DEADLINE_SLACK_S:
             text = f"passed {attempt.wait_s:.3f} s where {left_s:.3f} s were left"
--- a/micahold/laboratory/soak.py
+++ b/micahold/laboratory/soak.py
@@ -98,6 +98,7 @@
         self.busy_fronts: set[int] = set()  # that are ending or starting
         self.busy_engines: set[int] = set()  # that are draining, gone or starting
         self.violations: list[Violation] = []
+        self.cuts: dict[str, list[tuple[float, float]]] = {}
         self.max_lag_s = 0.0
         self.ends_at = 0.0
         self._kill_after_s = KILL_AFTER_DEADLINE_S + min(
@@ -128,7 +129,9 @@
         kills = {
             process.name: state.kills for process, state in zip(self.site.fronts, self.fronts, strict=True)
         }
-        records = RunRecords(self.site.queries, attempts, self.site.limits, self.site.unavailable, kills)
+        records = RunRecords(
+            self.site.queries, attempts, self.site.limits, self.site.unavailable, kills, self.cuts
+        )
         answers = Counter(query.answer or "none" for query in self.site.queries)
         violations = self.violations + check_records(records)
         return SoakResult(self.plan.seed, violations, dict(answers), len(attempts), self.max_lag_s)
@@ -247,9 +250,12 @@
             "duplicates": (engine.faults, "duplicate_poll_after_s", 0.008, 0.0),
         }
         owner, name, on, off = values.get(fault.kind, (engine.faults, fault.kind, True, False))
+        began_at = time.monotonic()
         setattr(owner, name, on)
         await asyncio.sleep(fault.span_s)
         setattr(owner, name, off)
+        if fault.kind == "cut":
+            self.cuts.setdefault(engine.name, []).append((began_at, time.monotonic()))
 
     async def _drain(self, fault: Fault) -> None:
         """An engine drains: no new connections, listed as gone while it runs on, later back."""
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -28,7 +28,7 @@
 from micahold.transport.calls import Call, CallError, CallNotSentError, ConnectError, UnreadableResponseError
 from micahold.transport.connection_pools import EngineConnectionPools
 from micahold.transport.directory import EngineDirectory, EngineListing
-from micahold.transport.engine_connection import REUSE_DELAY_S
+from micahold.transport.engine_connection import LATE_READ_GRACE_S, RESPONSE_TIMEOUT_S, REUSE_DELAY_S
 from micahold.transport.query_lease import QueryLease
 from micahold.transport.timers import TimerQueue
 
@@ -129,7 +129,7 @@
         self._last_request_at = 0.0
         self._last_contact_at = 0.0  # of the last usable response, or the start
         self._listing: EngineListing | None = None
-        self._lease = QueryLease()
+        self._lease = QueryLease(RESPONSE_TIMEOUT_S + LATE_READ_GRACE_S)
         self._known_to_engine = False  # a status response has come
         self._post_processed = False  # a response has shown that the engine has read the POST
         self._unreadable_count = 0
@@ -332,6 +332,8 @@
         if unreadable:
             self._record_response()
             self._unreadable_count += 1
+        else:
+            self._lease.connection_closed(now)
         if self._unreadable_count > MAX_UNREADABLE_RESPONSES:
             self.abort(Outcome.ERROR)
         elif now > self._last_contact_at + CONTACT_TIMEOUT_S:
