micahold trial soak: many seeds, planted faults, replays; a short one in the suite

The suite plays two drawn plans of 10 s, three plans that show a planted fault each (lease, clock, failing calls), and the same three without it.

--- a/micahold/commands/trial.py
+++ b/micahold/commands/trial.py
@@ -51,3 +51,35 @@
         click.echo(orjson.dumps({"seeds": seeds, "tables": rows_by_title}))
     else:
         console.print(f"seeds 1 to {seeds}; simulated in virtual time")
+
+
+@command.command("soak")
+@click.option("--seeds", default=50, show_default=True, help="Number of seeds.")
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--seconds", default=15.0, show_default=True, help="Length of each run under load.")
+@click.option("--processes", default=4, show_default=True, help="Parallel runs.")
+@click.option("--folder", default="soak", show_default=True, type=click.Path(file_okay=False))
+@click.option("--plant", default="", help="Plant a fault in the fronts: lease, clock or calls.")
+@click.option("--replay", type=click.Path(exists=True, dir_okay=False), help="Play the plan in this file.")
+def soak(
+    seeds: int, first: int, seconds: float, processes: int, folder: str, plant: str, replay: str | None
+) -> None:
+    """Run real fronts under drawn faults and check the rules from the records of clients and engines.
+
+    The plan, the logs and the findings of a seed that breaks a rule stay in FOLDER. The exit code is 1 if
+    any rule was broken.
+    """
+    from pathlib import Path
+
+    from micahold.laboratory.planted_faults import PLANTS
+    from micahold.laboratory.soak_plan import SoakPlan, draw_plan
+    from micahold.laboratory.soak_series import run_series
+
+    if plant and plant not in PLANTS:
+        raise click.UsageError(f"--plant: expected one of {', '.join(PLANTS)}")
+    if replay is not None:
+        plans = [SoakPlan.from_json(orjson.loads(Path(replay).read_bytes()))]
+    else:
+        plans = [draw_plan(seed, seconds) for seed in range(first, first + seeds)]
+    found = run_series(plans, Path(folder), processes, plant, click.echo)
+    click.get_current_context().exit(1 if found else 0)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,71 @@
+"""A short soak: two seeds keep all rules, and each planted fault is found."""
+
+from __future__ import annotations
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from micahold.laboratory.planted_faults import PLANTS
+from micahold.laboratory.soak import SoakResult
+from micahold.laboratory.soak_plan import Fault, SoakPlan, draw_plan
+from micahold.laboratory.soak_series import run_one
+
+SECONDS = 10.0
+SEEDS = (2, 5)
+
+
+def plan_with(*faults: Fault) -> SoakPlan:
+    """A plan of one front and three engines with these faults alone."""
+    return SoakPlan(
+        seed=1, seconds=8.0, fronts=1, engines=3, deadlines_s={"lookup": 4.0, "load": 6.0, "job": 6.0},
+        dedup_window_s=20.0, sockets=1024, clients=16, crowd=0, crowd_at_s=0.0, faults=list(faults),
+    )  # fmt: skip
+
+
+# Faults that show each planted one.
+TELLING_FAULTS = {
+    "lease": [Fault(0.8 + index, "drop_responses", index % 3, 3.0) for index in range(4)],
+    "clock": [Fault(2.0, "clock", 0, 0.0, -3600.0)],
+    "calls": [Fault(2.0, "call", 0, 0.3, 12.0, "recv")],
+}
+
+
+def run_side_by_side(folder: Path, runs: list[tuple[SoakPlan, str]]) -> list[SoakResult]:
+    """Plays the plans with their planted faults at the same time."""
+    with ThreadPoolExecutor(len(runs)) as pool:
+        futures = [
+            pool.submit(run_one, folder / f"run{number}", plant, plan)
+            for number, (plan, plant) in enumerate(runs)
+        ]
+        return [future.result() for future in futures]
+
+
+def test_drawn_plans_keep_every_rule(tmp_path: Path) -> None:
+    results = run_side_by_side(tmp_path, [(draw_plan(seed, SECONDS), "") for seed in SEEDS])
+    assert [result.violations for result in results] == [[], []]
+    assert all(result.answers["served"] > 0 for result in results)
+
+
+def test_each_planted_fault_is_found_and_its_plan_is_kept(tmp_path: Path) -> None:
+    runs = [(plan_with(*TELLING_FAULTS[plant]), plant) for plant in PLANTS]
+    results = run_side_by_side(tmp_path, runs)
+    for number, (result, (plan, plant)) in enumerate(zip(results, runs, strict=True)):
+        assert result.violations, plant
+        kept = json.loads((tmp_path / f"run{number}" / "seed-1" / "plan.json").read_text())
+        assert SoakPlan.from_json(kept) == plan
+
+
+def test_plans_that_show_planted_faults_keep_every_rule_without_them(tmp_path: Path) -> None:
+    runs = [(plan_with(*TELLING_FAULTS[plant]), "") for plant in PLANTS]
+    for plant, result in zip(PLANTS, run_side_by_side(tmp_path, runs), strict=True):
+        assert result.violations == [], plant
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_plan_is_the_same_for_its_seed_and_survives_json(seed: int) -> None:
+    plan = draw_plan(seed, SECONDS)
+    assert plan == draw_plan(seed, SECONDS) != draw_plan(seed + 1, SECONDS)
+    assert SoakPlan.from_json(json.loads(json.dumps(plan.to_json()))) == plan
