Soak: planted faults reach the fronts, and each of the three kinds is found in the suite

The environment was set before the fronts existed, so that the first form of the test found nothing for want of a planted fault; the plans now show each kind: a drained engine whose connections are reset, a clock set back an hour, writes that fail for 0.4 s.

--- a/micahold/laboratory/loopback_site.py
+++ b/micahold/laboratory/loopback_site.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any, Self
 
 from micahold.laboratory.emulated_channel import EmulatedChannel, member
@@ -77,6 +79,7 @@
         seed: int = 1,
         sockets: int = 1024,
         proxied: bool = False,
+        environment: Mapping[str, str] = MappingProxyType({}),
         **setting_changes: Any,
     ) -> None:
         self.random = Random(seed)
@@ -94,6 +97,7 @@
         self.unavailable: dict[str, list[tuple[float, float]]] = {}
         self.proxies: dict[str, FaultProxy] = {}  # by engine, if all calls go through proxies
         self._proxied = proxied
+        self._environment = environment  # of all fronts
         self._phases: dict[str, str] = {}  # of each engine in the list
         self._folder = folder
         self._front_count = fronts
@@ -122,7 +126,7 @@
             }
             front = FrontProcess(f"n{index + 1}", self._folder, configuration)
             faults = SystemFaults(self._folder / f"{front.name}.faults")
-            front.environment.update(faults.environment())
+            front.environment.update({**self._environment, **faults.environment()})
             self.faults.append(faults)
             self.fronts.append(front)
         await self.start_fronts()
--- a/micahold/laboratory/planted_faults.py
+++ b/micahold/laboratory/planted_faults.py
@@ -12,9 +12,21 @@
     """The lease of a query counts from the write of its last call."""
     from micahold.transport import query_lease
 
-    query_lease.CALL_HOLD_S = 0.0
-    query_lease.DELIVERY_DELAY_S = 0.0
-    query_lease.LIMIT_TOLERANCE_S = 0.0
+    class EarlyLease(query_lease.QueryLease):
+        """Ends as early as the engine could end it if it held no call."""
+
+        last_write = 0.0
+
+        def call_written(self, now: float) -> None:
+            """Notes the write of a call."""
+            self.last_write = now
+
+        @property
+        def lapses_at(self) -> float:
+            """The lease after the last write."""
+            return self.last_write + query_lease.ENGINE_LEASE_S
+
+    query_lease.QueryLease = EarlyLease  # type: ignore[misc]
 
 
 def _plant_clock() -> None:
--- a/micahold/laboratory/soak.py
+++ b/micahold/laboratory/soak.py
@@ -88,12 +88,12 @@
             plan.seed,
             plan.sockets,
             proxied=True,
+            environment={PLANT_VARIABLE: plant} if plant else {},
             invariants=invariants,
         )
         self.site.limits.retry_window_s = RETRY_WINDOW_S
         self.site.limits.retry_floor = RETRY_FLOOR
         self.site.limits.retry_ratio = RETRY_RATIO
-        self.plant = plant
         self.fronts = [_FrontState() for _ in range(plan.fronts)]
         self.busy_fronts: set[int] = set()  # that are ending or starting
         self.busy_engines: set[int] = set()  # that are draining, gone or starting
@@ -107,9 +107,6 @@
 
     async def run(self) -> SoakResult:
         """Plays the plan and checks the records."""
-        if self.plant:
-            for front in self.site.fronts:
-                front.environment[PLANT_VARIABLE] = self.plant
         async with self.site:
             self.ends_at = time.monotonic() + self.plan.seconds
             lag_task = asyncio.create_task(self._measure_lag())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -27,9 +28,14 @@
 
 # Faults that show each planted one.
 TELLING_FAULTS = {
-    "lease": [Fault(0.8 + index, "drop_responses", index % 3, 3.0) for index in range(4)],
+    "lease": [
+        Fault(1.5, "drain", 0, 5.0, 4.0),
+        Fault(1.8, "reset", 0, 0.0),
+        Fault(2.5, "drain", 1, 5.0, 4.0),
+        Fault(2.8, "reset", 1, 0.0),
+    ],
     "clock": [Fault(2.0, "clock", 0, 0.0, -3600.0)],
-    "calls": [Fault(2.0, "call", 0, 0.3, 12.0, "recv")],
+    "calls": [Fault(1.5 + index, "call", 0, 0.4, float(errno.ENOMEM), "send") for index in range(4)],
 }
 
 
