A connection that came up while the front stalled is no timeout of its engine

Found while tracing known fault 5 (a test on a busy machine, output not kept). Cause: after a stall, timers are due before sockets are looked at; Twisted's connect timeout then failed a connection that was up, and the engine was quarantined for the front's own stall. Change: a connect timeout waits 10 ms for the sockets to be looked at. Test: a timeout before the next poll fails no connection; it did before.

--- a/micahold/program/sockets.py
+++ b/micahold/program/sockets.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from twisted.internet import main
+from twisted.internet.error import TimeoutError
 from twisted.internet.tcp import Client, Connector, Port, Server
 from twisted.python import log
 
@@ -18,6 +19,8 @@
 
 # Until a failed call is made again.
 RETRY_DELAY_S = 0.01
+# For a connection that has come up while the front could not look at it.
+LATE_CONNECT_GRACE_S = 0.01
 # recv(2) and send(2): the connection is whole, and the call may succeed later.
 TRANSIENT_ERRORS = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EINTR})
 
@@ -93,6 +96,19 @@
 class FrontClientTransport(RetryingTransport, Client):
     """A connection that the front makes."""
 
+    def failIfNotConnected(self, err: Exception) -> None:
+        """Fails the connection; a timeout only if it does not come up within ``LATE_CONNECT_GRACE_S`` either.
+
+        After a stall of the front, timers are due before its sockets are looked at.
+        """
+        if isinstance(err, TimeoutError) and not self.timed_out:
+            self.timed_out = True
+            self.reactor.callLater(LATE_CONNECT_GRACE_S, self.failIfNotConnected, err)
+        else:
+            super().failIfNotConnected(err)  # type: ignore[no-untyped-call]
+
+    timed_out = False
+
 
 class FrontConnector(Connector):
     """Makes one connection with a ``FrontClientTransport``."""
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -105,3 +105,39 @@
         [sys.executable, "-c", ACCEPT_SCRIPT], capture_output=True, text=True, timeout=30, check=False
     )
     assert result.stdout.strip() == str(MAX_ACCEPTS_PER_ITERATION), result.stderr
+
+
+STALLED_CONNECT_SCRIPT = """
+import socket
+from micahold.program.loop import install
+reactor = install()
+from twisted.internet.error import TimeoutError
+from twisted.internet.protocol import ClientFactory, Protocol
+
+class Client(ClientFactory):
+    protocol = Protocol
+    def buildProtocol(self, addr):
+        print("connected")
+        reactor.stop()
+        return Protocol()
+    def clientConnectionFailed(self, connector, reason):
+        print("failed", reason.type.__name__)
+        reactor.stop()
+
+listener = socket.create_server(("127.0.0.1", 0))
+
+def connect_with_a_timeout_before_the_next_poll():
+    connector = reactor.connectTCP("127.0.0.1", listener.getsockname()[1], Client(), timeout=5)
+    reactor.callLater(0, lambda: connector.transport.failIfNotConnected(TimeoutError()))
+
+reactor.callWhenRunning(connect_with_a_timeout_before_the_next_poll)
+reactor.callLater(5, reactor.stop)
+reactor.run()
+"""
+
+
+def test_connection_that_comes_up_while_the_front_stalls_has_not_timed_out() -> None:
+    """Otherwise a stall of the front counts as the failure of each engine that it was connecting to."""
+    command = [sys.executable, "-c", STALLED_CONNECT_SCRIPT]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
+    assert result.stdout == "connected\n", result.stderr
