The shutdown counts from SIGTERM and not from its handling

Change: the signal's handler notes the time, and the notice, the drain and the last answers count from it. Test: a signal handled 0.4 s late; the drain began 0.4 s late before.

--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -223,21 +223,26 @@
 
     # Shutdown
 
-    def begin_shutdown(self) -> None:
-        """Handles SIGTERM: begins the notice period; a second signal changes nothing."""
+    def begin_shutdown(self, signalled_at: float) -> None:
+        """Handles SIGTERM: begins the notice period; a second signal changes nothing.
+
+        The platform counts the time until SIGKILL from the signal, which came at ``signalled_at`` on the
+        reactor's clock; a busy loop handles it later.
+        """
         if self.phase is not Phase.SERVING:
             return
         self._enter(Phase.NOTICE)
+        handled_after_s = max(0.0, self.clock.seconds() - signalled_at)
         longest_deadline_s = max(
             (query_class.deadline_s for query_class in self.configuration.settings.classes), default=0.0
         )
         kill_after_s = min(longest_deadline_s, MAX_COUNTED_DEADLINE_S) + NOTICE_PERIOD_S
         drain_s = max(NOTICE_PERIOD_S, kill_after_s - KILL_MARGIN_S - FLUSH_TIMEOUT_S)
-        self._drain_deadline = self.clock.seconds() + drain_s
-        self.exchange.begin_shutdown(drain_s - DECISION_MARGIN_S)
+        self._drain_deadline = signalled_at + drain_s
+        self.exchange.begin_shutdown(drain_s - DECISION_MARGIN_S - handled_after_s)
         if self.subsystems is not None:
             self.subsystems.leave()
-        self.clock.callLater(NOTICE_PERIOD_S, self._drain)
+        self.clock.callLater(max(0.0, NOTICE_PERIOD_S - handled_after_s), self._drain)
 
     def _drain(self) -> None:
         self._enter(Phase.DRAINING)
--- a/micahold/program/start.py
+++ b/micahold/program/start.py
@@ -92,7 +92,7 @@
 
     def set_signal_handlers() -> None:
         # Runs once the reactor runs, so that these replace the handlers that the reactor installs.
-        signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(front.begin_shutdown))
+        signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(front.begin_shutdown, loop.seconds()))
         signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(front.reload, read_configuration))
         signal.signal(signal.SIGUSR1, lambda *_: loop.callFromThread(front.log_counters))
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -234,10 +234,26 @@
         pass
 
 
+def test_shutdown_counts_from_the_signal_and_not_from_its_handling(monkeypatch: pytest.MonkeyPatch) -> None:
+    harness = FrontHarness(monkeypatch)
+    session, transport = harness.client()
+    session.dataReceived(query_with_fields(wait=4000))
+    signalled_at = harness.clock.seconds()
+    harness.advance(0.4)
+    harness.front.begin_shutdown(signalled_at)
+    harness.pass_time(NOTICE_PERIOD_S - 0.4 + 0.01)
+    assert harness.phases()[-1] == "draining"
+    longest_s = 3.0  # the longest deadline, of which at most so much counts
+    while not harness.stopped:
+        harness.pass_time(0.05)
+        assert harness.clock.seconds() < signalled_at + longest_s + NOTICE_PERIOD_S
+    assert transport.take_written()
+
+
 def test_an_idle_front_stops_after_the_notice_period(monkeypatch: pytest.MonkeyPatch) -> None:
     harness = FrontHarness(monkeypatch)
-    harness.front.begin_shutdown()
-    harness.front.begin_shutdown()
+    harness.front.begin_shutdown(harness.clock.seconds())
+    harness.front.begin_shutdown(harness.clock.seconds())
     harness.pass_time(NOTICE_PERIOD_S - 0.05)
     assert harness.front.phase is Phase.NOTICE
     harness.pass_time(0.2)
@@ -250,7 +266,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     harness = FrontHarness(monkeypatch)
-    harness.front.begin_shutdown()
+    harness.front.begin_shutdown(harness.clock.seconds())
     harness.pass_time(NOTICE_PERIOD_S / 2)
     session, transport = harness.client()
     session.dataReceived(query_with_fields(wait=8000))
@@ -268,7 +284,7 @@
     session, _ = harness.client()
     session.dataReceived(query_with_fields(wait=60000))
     harness.advance()
-    harness.front.begin_shutdown()
+    harness.front.begin_shutdown(harness.clock.seconds())
     harness.pass_time(NOTICE_PERIOD_S + 0.1)
     assert not harness.stopped
     session.connectionLost()
