--- a/micahold/laboratory/emulated_channel.py
+++ b/micahold/laboratory/emulated_channel.py
@@ -6,6 +6,8 @@
 import json
 from typing import Any
 
+from micahold.laboratory.loopback_listener import LoopbackListener
+
 COMMENT_INTERVAL_S = 0.5
 POLL_INTERVAL_S = 0.01
 
@@ -15,21 +17,15 @@
     return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": zone, "flavor": "std", "phase": phase}
 
 
-class EmulatedChannel:
+class EmulatedChannel(LoopbackListener):
     """Serves every event after the cursor that a front names, then new ones as they come."""
 
     def __init__(self, cursor: int = 3) -> None:
-        self.port = 0
+        super().__init__()
         self.cursor = cursor
         self.subscriptions = 0
         self.silent = False  # connections stay open and carry nothing
         self._events: list[tuple[int, str]] = []
-        self._listener: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listens on a free port of the loopback interface."""
-        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._listener.sockets[0].getsockname()[1]
 
     def publish(self, *members: dict[str, Any], complete: bool = False) -> None:
         """Adds an event with the entries that have changed, or with the whole list."""
@@ -38,12 +34,7 @@
         event = {"cursor": self.cursor, "nodes": nodes}
         self._events.append((self.cursor, json.dumps(event, separators=(",", ":"))))
 
-    async def stop(self) -> None:
-        """Closes the listener; open subscriptions end with their connections."""
-        if self._listener is not None:
-            self._listener.close()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
             line = next(line for line in head.split("\r\n") if line.startswith("last-event-id:"))
--- a/micahold/laboratory/emulated_engine.py
+++ b/micahold/laboratory/emulated_engine.py
@@ -15,6 +15,7 @@
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 
+from micahold.laboratory.loopback_listener import LoopbackListener
 from micahold.laboratory.tcp_state import peer_has_closed
 
 LEASE_S = 2.0
@@ -87,34 +88,22 @@
     return _Request(method, path, headers, body, time.monotonic())
 
 
-class EmulatedEngine:
+class EmulatedEngine(LoopbackListener):
     """One engine process; ``attempts`` holds the records of everything it was sent."""
 
     def __init__(self, name: str, zone: str = "east") -> None:
+        super().__init__()
         self.name = name
         self.zone = zone
-        self.port = 0
         self.faults = EngineFaults()
         self.attempts: list[AttemptRecord] = []
         self.post_connections = 0
         self._queries: dict[str, _RunningQuery] = {}
         self._connections: dict[asyncio.StreamWriter, str] = {}  # and the query that each last carried
-        self._listener: asyncio.Server | None = None
         self._tasks: set[asyncio.Future[None]] = set()
 
-    async def start(self, port: int = 0) -> None:
-        """Listens on a free port of the loopback interface, or on ``port``."""
-        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.port = self._listener.sockets[0].getsockname()[1]
-
     # Faults and life cycle
 
-    def close_listener(self) -> None:
-        """Refuses new connections, as a draining engine does; established ones go on."""
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
-
     def reset_connections(self, query_id: str | None = None) -> None:
         """Resets the connections that last carried the query, or all of them; queries go on running."""
         for writer, last_query in list(self._connections.items()):
@@ -151,7 +140,7 @@
 
     # Requests
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._connections[writer] = ""
         try:
             while (request := await _read_request(reader)) is not None:
--- a/micahold/laboratory/fault_proxy.py
+++ b/micahold/laboratory/fault_proxy.py
@@ -9,6 +9,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from micahold.laboratory.loopback_listener import LoopbackListener
 from micahold.laboratory.tcp_state import peer_has_closed
 
 CHECK_INTERVAL_S = 0.01
@@ -24,28 +25,16 @@
     split_bytes: int = 0  # pieces of at most this many bytes, with a pause in between
 
 
-class FaultProxy:
+class FaultProxy(LoopbackListener):
     """Forwards connections on its own port to ``target_port`` on loopback."""
 
     def __init__(self, target_port: int) -> None:
+        super().__init__()
         self.target_port = target_port
-        self.port = 0
         self.faults = ProxyFaults()
-        self._listener: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self, port: int = 0) -> None:
-        """Listens on a free port of the loopback interface, or on ``port``."""
-        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.port = self._listener.sockets[0].getsockname()[1]
-
-    def close_listener(self) -> None:
-        """Refuses new connections; established ones go on."""
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
-
     async def stop(self) -> None:
         """Closes everything."""
         self.close_listener()
@@ -58,7 +47,7 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
--- a/micahold/laboratory/loopback_site.py
+++ b/micahold/laboratory/loopback_site.py
@@ -146,7 +146,7 @@
             await proxy.stop()
         for engine in self.engines:
             await engine.stop()
-        await self.channel.stop()
+        self.channel.close_listener()
 
     def known_list(self) -> dict[str, Any]:
         """The whole list as a front gets it in its configuration."""
--- a/micahold/laboratory/sql_client.py
+++ b/micahold/laboratory/sql_client.py
@@ -43,10 +43,15 @@
     """The front closed or reset the connection."""
 
 
-def login_packet() -> bytes:
-    """The client's packet of the connection phase."""
+def handshake_response(user: bytes, database: bytes, auth_response: bytes = b"") -> bytes:
+    """The payload of a Protocol::HandshakeResponse41."""
     fixed_fields = CAPABILITIES.to_bytes(4, "little") + (1 << 24).to_bytes(4, "little") + b"\x21" + bytes(23)
-    return encode_packet(1, fixed_fields + b"app\0\0dw\0")
+    return fixed_fields + user + b"\0" + bytes((len(auth_response),)) + auth_response + database + b"\0"
+
+
+def login_packet(user: bytes = b"app", database: bytes = b"dw") -> bytes:
+    """The client's packet of the connection phase."""
+    return encode_packet(1, handshake_response(user, database))
 
 
 class QueryIds:
--- a/tests/mysql_client.py
+++ b/tests/mysql_client.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from micahold.laboratory.sql_client import handshake_response, login_packet
 from micahold.protocol.mysql_packets import PacketReader, encode_packet
 
-# CLIENT_LONG_PASSWORD, CLIENT_CONNECT_WITH_DB, CLIENT_PROTOCOL_41, CLIENT_TRANSACTIONS and
-# CLIENT_SECURE_CONNECTION.
-CAPABILITIES = 0x1 | 0x8 | 0x200 | 0x2000 | 0x8000
+__all__ = [
+    "ServerError", "command_packet", "decode_packets", "decode_result_set", "handshake_response", "login_packet",
+    "query_packet", "query_with_fields",
+]  # fmt: skip
 
 
 class ServerError(Exception):
@@ -17,17 +19,6 @@
         super().__init__(f"{self.code} {self.text}")
 
 
-def handshake_response(user: bytes, database: bytes, auth_response: bytes = b"") -> bytes:
-    """The payload of a Protocol::HandshakeResponse41."""
-    fixed_fields = CAPABILITIES.to_bytes(4, "little") + (1 << 24).to_bytes(4, "little") + b"\x21" + bytes(23)
-    return fixed_fields + user + b"\0" + bytes((len(auth_response),)) + auth_response + database + b"\0"
-
-
-def login_packet(user: bytes = b"app", database: bytes = b"dw") -> bytes:
-    """The client's packet of the connection phase."""
-    return encode_packet(1, handshake_response(user, database))
-
-
 def command_packet(code: int, argument: bytes = b"") -> bytes:
     """A packet of the command phase."""
     return encode_packet(0, bytes((code,)) + argument)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -9,8 +9,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from micahold.laboratory.emulated_channel import member
+from micahold.laboratory.front_process import free_port
 from tests import mysql_client
 
+__all__ = ["Channel", "Client", "Engine", "configuration", "free_port", "list_event", "member", "wait_until"]
+
 SETTINGS: dict[str, Any] = {
     "siblings": 1,
     "zones": ["east"],
@@ -29,11 +33,6 @@
 }  # fmt: skip
 
 
-def member(name: str, port: int, phase: str = "Ready") -> dict[str, Any]:
-    """An engine's entry in the command channel's engine list."""
-    return {"id": name, "host_port": f"127.0.0.1:{port}", "locality": "east", "flavor": "std", "phase": phase}
-
-
 def list_event(cursor: int, *members: dict[str, Any]) -> dict[str, Any]:
     """An event of the command channel with a complete engine list."""
     return {"cursor": cursor, "nodes": {"revision": cursor, "complete": True, "members": list(members)}}
@@ -52,14 +51,6 @@
     }
 
 
-def free_port() -> int:
-    """A TCP port on loopback that was free at the time of the call."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class ThreadedServer:
     """An HTTP server with a daemon thread per connection."""
 
