--- a/tests/mysql_client.py
+++ b/tests/mysql_client.py
@@ -6,8 +6,8 @@
 from micahold.protocol.mysql_packets import PacketReader, encode_packet
 
 __all__ = [
-    "ServerError", "command_packet", "decode_packets", "decode_result_set", "handshake_response", "login_packet",
-    "query_packet", "query_with_fields",
+    "ServerError", "command_packet", "decode_packets", "decode_result_set", "handshake_response",
+    "login_packet", "query_packet", "query_with_fields",
 ]  # fmt: skip
 
 
