--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -117,7 +117,6 @@
             counters,
             log,
             clock.call_at_iteration_end,
-            timer_lateness=clock.timer_lateness,
         )
         self.sessions = ClientSessions(
             clock,
--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -22,12 +22,9 @@
 
 # Events handled between two checks of the timers; a longer iteration would make answers late.
 MAX_READY_EVENTS = 16
-# The platform's own allowance for delays on sockets; no greater timer lateness is assumed.
-MAX_ASSUMED_LATENESS_S = 0.05
 # Bound on the assumed read delay: under lasting load the time since the last complete poll says little about
 # a single query.
 MAX_UNREAD_S = 0.25
-LATENESS_HALF_LIFE_S = 5.0
 # Bounds the processor time that a failing poll takes.
 FAILED_POLL_DELAY_S = 0.001
 # A poll that took longer than this has blocked: no descriptor was ready when it began.
@@ -45,9 +42,8 @@
         self._iteration_end_calls: list[Callable[[], None]] = []
         self.failed_calls: Counter[str] = Counter()  # system calls that failed and were made again
         # Times of the reactor's clock: of the last poll that returned all ready descriptors; since when the
-        # data of this iteration may have been readable; of the return of the last poll.
-        self._drained_at = self._unread_since = self._poll_returned_at = 0.0
-        self._lateness = 0.0
+        # data of this iteration may have been readable.
+        self._drained_at = self._unread_since = 0.0
         # Since when data may have waited because polls failed; None once all of it is read.
         self._polls_failed_since: float | None = None
         super().__init__()  # type: ignore[no-untyped-call]
@@ -108,13 +104,6 @@
             delay = max(delay, float(self.seconds()) - self._polls_failed_since)
         return delay
 
-    def timer_lateness(self) -> float:
-        """How late a timer may fire, in seconds: the longest recent iteration, with exponential decay.
-
-        Callers subtract it from deadlines, so that answers are in time on a machine that stalls.
-        """
-        return min(MAX_ASSUMED_LATENESS_S, self._lateness)
-
     def _end_iteration(self) -> bool:
         """Runs the calls for the end of the iteration and sends; True if there was anything to do."""
         acted = bool(self._iteration_end_calls)
@@ -163,14 +152,6 @@
             time.sleep(FAILED_POLL_DELAY_S)  # it may fail many times in a row
             return
         now = self.seconds()
-        elapsed = now - self._poll_returned_at
-        iteration_s = poll_began_at - self._poll_returned_at
-        self._lateness = (
-            max(iteration_s, self._lateness * 0.5 ** (elapsed / LATENESS_HALF_LIFE_S))
-            if self._poll_returned_at
-            else 0.0
-        )
-        self._poll_returned_at = now
         self._unread_since = now if now - poll_began_at > MIN_BLOCKING_POLL_S else self._drained_at
         if len(ready) < MAX_READY_EVENTS:
             self._drained_at = now
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -68,10 +68,7 @@
         log: Callable[..., None],
         call_at_iteration_end: Callable[[Callable[[], None]], Any],
         controller_factory: Callable[[api.Settings, int], ControllerProtocol] = Controller,
-        timer_lateness: Callable[[], float] = lambda: 0.0,
     ) -> None:
-        """``timer_lateness`` returns by how many seconds the event loop currently runs timers late."""
-        self.timer_lateness = timer_lateness
         self.settings = settings
         self.seed = seed
         self.clock = clock
@@ -139,10 +136,7 @@
             raise UnusableQueryError("field once is missing")
         self._last_number += 1
         number = self._last_number
-        # Subtracts the event loop's lateness, so that the controller plans for a deadline the front can keep.
-        open_query = OpenQuery(
-            query, reply, now - waited, min(self._answer_by, now + remaining - self.timer_lateness())
-        )
+        open_query = OpenQuery(query, reply, now - waited, min(self._answer_by, now + remaining))
         self.open_queries[number] = open_query
         self._open_ids.add(query.id)
         self.unanswered_count += 1
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -303,13 +303,12 @@
         harness.exchange.submit(make_query(2), RecordingReply(), waited=2.0)
 
 
-def test_deadline_is_reduced_by_the_timer_lateness() -> None:
+def test_deadline_of_a_query_read_at_once_is_the_whole_of_its_wait() -> None:
     harness = ExchangeHarness()
-    harness.exchange.timer_lateness = lambda: 0.03
-    harness.submit()
+    harness.submit(wait="2000")
     event = harness.last_event()
     assert isinstance(event, api.QueryArrived)
-    assert round(event.deadline, 6) == 1.97
+    assert event.deadline == pytest.approx(2.0)
 
 
 def test_timer_fires_after_its_delay() -> None:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -55,26 +55,6 @@
     assert result.stdout == "complete\n", result.stderr
 
 
-LATENESS_SCRIPT = """
-import time
-from micahold.program.loop import MAX_ASSUMED_LATENESS_S, install
-reactor = install()
-lateness = []
-reactor.callLater(0.05, lambda: lateness.append(reactor.timer_lateness()))
-reactor.callLater(0.06, time.sleep, 0.2)
-reactor.callLater(0.07, lambda: reactor.callLater(0.01, lambda: lateness.append(reactor.timer_lateness())))
-reactor.callLater(0.5, reactor.stop)
-reactor.run()
-print(lateness[0] < MAX_ASSUMED_LATENESS_S, lateness[1] == MAX_ASSUMED_LATENESS_S)
-"""
-
-
-def test_a_long_iteration_counts_as_lateness_up_to_the_platforms_allowance() -> None:
-    command = [sys.executable, "-c", LATENESS_SCRIPT]
-    result = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
-    assert result.stdout.split()[1:] == ["True"], result.stderr
-
-
 ACCEPT_SCRIPT = """
 import socket
 from micahold.program.loop import install
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -176,9 +176,6 @@
     def read_pending(self, transport: Any) -> None:
         """Nothing waits to be read in memory."""
 
-    def timer_lateness(self) -> float:
-        return 0.0
-
     def call_at_iteration_end(self, call: Any) -> None:
         self.callLater(0, call)
 
