--- a/micahold/laboratory/planted_faults.py
+++ b/micahold/laboratory/planted_faults.py
@@ -9,11 +9,11 @@
 
 
 def _plant_lease() -> None:
-    """The lease of a query counts from the write of its last call."""
+    """A query that is aborted counts as over at once, whatever its engine still holds."""
     from micahold.transport import query_lease
 
     class EarlyLease(query_lease.QueryLease):
-        """Ends as early as the engine could end it if it held no call."""
+        """Has lapsed as soon as it is asked."""
 
         last_write = 0.0
 
@@ -23,8 +23,8 @@
 
         @property
         def lapses_at(self) -> float:
-            """The lease after the last write."""
-            return self.last_write + query_lease.ENGINE_LEASE_S
+            """The last write, which has passed."""
+            return self.last_write
 
     query_lease.QueryLease = EarlyLease  # type: ignore[misc]
 
