Review case 1: copies that the stand-in would write too late are left out

The stand-in's own loop was late, and copies came later than the 10 ms that the claim names. Change: a copy that would come more than 12 ms after the first is not written; the record counts them.

--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -14,6 +14,8 @@
 
 LEASE_S = 2.0
 HOLD_S = 0.25
+# A second copy that would come later than this, since the stand-in itself was busy, is not written.
+MAX_COPY_DELAY_S = 0.012
 IDLE_S = 15.0
 PAGE_BYTES = 6000
 WORK = re.compile(rb"work_(\d+)")
@@ -72,6 +74,8 @@
     port: int = 0
 
     def __post_init__(self) -> None:
+        self.copies_written = self.copies_left_out = 0
+        self.latest_copy_s = 0.0
         self._open: dict[str, Run] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -183,12 +187,20 @@
         data = answer.head + b"\r\n\r\n" + answer.body
         writer.write(data)
         if answer.late_copy_s:
-            self._start(self._write_late(writer, data, answer.late_copy_s))
+            self._start(self._write_late(writer, data, answer.late_copy_s, time.monotonic()))
 
-    async def _write_late(self, writer: asyncio.StreamWriter, data: bytes, delay_s: float) -> None:
+    async def _write_late(
+        self, writer: asyncio.StreamWriter, data: bytes, delay_s: float, written_at: float
+    ) -> None:
         await asyncio.sleep(delay_s)
-        if not writer.is_closing():
-            writer.write(data)
+        if writer.is_closing():
+            return
+        if time.monotonic() - written_at > MAX_COPY_DELAY_S:
+            self.copies_left_out += 1
+            return
+        writer.write(data)
+        self.copies_written += 1
+        self.latest_copy_s = max(self.latest_copy_s, time.monotonic() - written_at)
 
     def _start(self, coroutine: object) -> None:
         task = asyncio.ensure_future(coroutine)  # type: ignore[call-overload]
