Nothing of a page that is rejected stays in the result

Cause: ResultSetEncoder.add_page put each row into the result as it went and raised at the first that it could not use; the attempt then asked for the same page and added it to the same encoder. The size of the rejected page counted as well, so a page of over half the limit of 64 KB was too large at each repeat and its query was never served. Ruled out: rows of another query, and a page added twice as a whole. Change: a page is encoded by itself and added, with its size, once all of it could be read. Tests: test_nothing_of_a_page_that_is_rejected_gets_into_the_result, test_rejected_page_does_not_count_towards_the_size_of_ the_result and three cases of test_page_with_a_row_that_is_noise_... failed before.

--- a/micahold/protocol/mysql_results.py
+++ b/micahold/protocol/mysql_results.py
@@ -58,17 +58,16 @@
         """Encodes the rows of one page: lines of tab-separated values, one for each column.
 
         Raises ``ProtocolError`` if the page ends within a row, a row has another number of values, or the
-        result is too large.
+        result is too large. Nothing of such a page is kept, so that it can be requested and added again.
         """
         if not page:
             return
-        self._page_bytes += len(page)
-        if self._page_bytes > MAX_RESULT_BYTES:
+        if self._page_bytes + len(page) > MAX_RESULT_BYTES:
             raise ProtocolError("result too large")
         lines = page.split(b"\n")
         if lines.pop():
             raise ProtocolError("page ends within a row")
-        encoded = self._encoded
+        encoded: list[bytes] = []
         sequence_id = self._sequence_id
         for line in lines:
             try:
@@ -89,7 +88,9 @@
                 )
                 encoded.append(encode_packet(sequence_id, b"".join(values)))
             sequence_id += 1
+        self._encoded += encoded
         self._sequence_id = sequence_id
+        self._page_bytes += len(page)
 
     def finish(self) -> bytes:
         """Returns all packets, from the column count to the final EOF_Packet; ends the use of the encoder."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -260,6 +260,28 @@
     assert not results
 
 
+@pytest.mark.parametrize("spoilt_page", [0, 1, 2])
+@pytest.mark.parametrize("spoilt", [PAGE + b"noise\n", PAGE * 2 + b"a\t1"])
+def test_page_with_a_row_that_is_noise_is_requested_again_and_its_rows_are_served_once(
+    spoilt: bytes, spoilt_page: int
+) -> None:
+    """Guards against rows that stand twice in a result: those ahead of the noise, and the whole page."""
+    network = EngineHarness()
+    _, results = network.start_attempt()
+    connection = first_connection(network)
+    for page in range(3):
+        number = {"X_Sheet": str(page)} if page else {"X_Sheets": "3"}
+        if page == spoilt_page:
+            connection.send(http_response(200, spoilt, **number))
+            network.advance()
+            connection = network.connections[1].accept()
+            assert connection.transport.take_written() == get(page)
+        connection.send(http_response(200, PAGE, **number))
+    (result,) = results
+    assert result.result_set is not None
+    assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 3
+
+
 @pytest.mark.parametrize("failure", ["refuse", "time_out"])
 def test_failed_connect_ends_as_connect_failed(failure: str) -> None:
     network = EngineHarness()
--- a/tests/test_mysql_protocol.py
+++ b/tests/test_mysql_protocol.py
@@ -19,9 +19,10 @@
     parse_handshake_response,
 )
 from micahold.protocol.mysql_packets import PacketReader, encode_lenenc_int, encode_packet
-from micahold.protocol.mysql_results import FIRST_ROW_SEQUENCE_ID, ResultSetEncoder
+from micahold.protocol.mysql_results import FIRST_ROW_SEQUENCE_ID, MAX_RESULT_BYTES, ResultSetEncoder
 from tests.mysql_client import decode_result_set, handshake_response
 
+Row = tuple[bytes, bytes, bytes]
 VALUE = st.binary(max_size=300).map(lambda value: value.replace(b"\t", b" ").replace(b"\n", b" "))
 
 
@@ -131,6 +132,37 @@
         ResultSetEncoder().add_page(page)
 
 
+# Each can't be read, from its first row on, from a later one, or because of its size.
+SPOILT_PAGES = (b"\x01\n", b"a\tb\tc\n\x01\n", b"a\tb\tc\n" * 3 + b"a\tb", b"a\tb\tc\n" * 11_000)
+
+
+@given(
+    st.lists(st.one_of(st.sampled_from(SPOILT_PAGES), st.lists(st.tuples(VALUE, VALUE, VALUE), max_size=4)))
+)
+def test_nothing_of_a_page_that_is_rejected_gets_into_the_result(pages: list[bytes | list[Row]]) -> None:
+    """Guards against rows ahead of a spoilt one that are served a second time with the page's repeat."""
+    encoder, expected = ResultSetEncoder(), ResultSetEncoder()
+    for page in pages:
+        if isinstance(page, bytes):
+            with pytest.raises(ProtocolError):
+                encoder.add_page(page)
+        else:
+            good_page = b"".join(b"\t".join(row) + b"\n" for row in page)
+            encoder.add_page(good_page)
+            expected.add_page(good_page)
+    assert encoder.finish() == expected.finish()
+
+
+def test_rejected_page_does_not_count_towards_the_size_of_the_result() -> None:
+    """Guards against a large page that is taken for too large when it is requested again."""
+    encoder = ResultSetEncoder()
+    page = b"a\tb\tc\n" * (MAX_RESULT_BYTES // 6)
+    with pytest.raises(ProtocolError):
+        encoder.add_page(page + b"x")
+    encoder.add_page(page)
+    assert len(decode_result_set(encoder.finish())) == MAX_RESULT_BYTES // 6
+
+
 def test_empty_result_set_has_metadata_and_no_rows() -> None:
     encoder = ResultSetEncoder()
     encoder.add_page(b"")
