A connection is read before a call is written, so that no unread copy answers it

Cause: a connection rests for 20 ms after a response, so that a second copy is read while no call is open there. The rest was counted by the clock alone. A front that was busy for longer, with a batch of loads for instance, found the rest over while the copy lay unread, wrote the next call there, and took the copy for its answer. Change: before a call is written, what has arrived on its connection is read; data closes it, and a connection that can't be read at that moment is not used. FrontReactor.read_pending now says whether it could read. Test: test_duplicate_that_arrived_while_the_front_was_busy_answers_no_other_call failed before.

--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -106,6 +106,7 @@
             configuration.max_engine_connections,
             settings.limits.connect_timeout_s,
             settings.limits.idle_timeout_s,
+            clock.read_pending,
         )
         self.exchange = Exchange(
             settings,
--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -62,11 +62,13 @@
         connector.connect()
         return connector
 
-    def read_pending(self, transport: Any) -> None:
-        """Reads at once what has arrived on a connection."""
+    def read_pending(self, transport: Any) -> bool:
+        """Reads at once what has arrived on a connection; False if it is closed or can't be read now."""
         descriptor = transport.fileno()
-        if descriptor in self._reads:
-            self._doReadOrWrite(transport, descriptor, epollreactor.EPOLLIN)  # type: ignore[no-untyped-call]
+        if descriptor not in self._reads:
+            return False
+        self._doReadOrWrite(transport, descriptor, epollreactor.EPOLLIN)  # type: ignore[no-untyped-call]
+        return descriptor in self._reads and transport.fileno() == descriptor
 
     def record_failed_call(self, call: str, error: OSError) -> None:
         """Counts a system call that failed and is made again."""
--- a/micahold/transport/connection_pools.py
+++ b/micahold/transport/connection_pools.py
@@ -39,7 +39,9 @@
         max_connections: int,
         connect_timeout: float,
         engine_idle_timeout: float,
+        read_pending: Callable[[Any], bool] = lambda transport: True,
     ) -> None:
+        """``read_pending`` reads at once what has arrived on a transport; False if it can't be read now."""
         self.clock = clock
         self.directory = directory
         self.counters = counters
@@ -49,6 +51,7 @@
         # Half the engines' own idle timeout, so that no request is sent on a connection that its engine is
         # closing at that moment. 0 disables the sweep.
         self.idle_timeout = engine_idle_timeout / 2
+        self._read_pending = read_pending
         self.open_connections = 0  # established or being established
         self._idle: dict[EngineListing, deque[EngineConnection]] = {}
         self._retained: dict[EngineListing, int] = {}  # number of attempts that are not over
@@ -122,15 +125,17 @@
     def _take_idle(self, call: Call) -> EngineConnection | None:
         """Removes and returns the most recently used connection that may carry the call.
 
-        A connection rests after its last response. Guards against a duplicate of that response, which would
-        be taken for the response to the call.
+        Guards against a duplicate of the last response, which would be taken for the response to the call:
+        the connection must have rested, and what arrived meanwhile is read first, however late the event loop
+        is.
         """
-        idle = self._idle.get(call.listing, ())
         now = self.clock.seconds()
-        for index in range(len(idle) - 1, -1, -1):
-            connection = idle[index]
-            if call.self_identifying or connection.idle_since + connection.reuse_delay_s <= now:
-                del self._idle[call.listing][index]
+        for connection in reversed(tuple(self._idle.get(call.listing, ()))):
+            has_rested = connection.idle_since + connection.reuse_delay_s <= now
+            if not (call.self_identifying or has_rested) or not self._read_pending(connection.transport):
+                continue
+            if not connection.closing:  # reading has found nothing
+                self._idle[call.listing].remove(connection)
                 return connection
         return None
 
--- a/tests/network.py
+++ b/tests/network.py
@@ -45,6 +45,7 @@
         self.address, self.factory, self.timeout = (host, port), factory, timeout
         self.protocol: Any = None
         self.transport = MemoryTransport()
+        self.unread = b""
 
     def accept(self) -> ServerEnd:
         """Establishes the connection."""
@@ -64,6 +65,16 @@
         """Delivers data to the front."""
         self.protocol.dataReceived(data)
 
+    def arrive(self, data: bytes) -> None:
+        """Lets data arrive that the front does not read yet."""
+        self.unread += data
+
+    def read_unread(self) -> None:
+        """Has the front read what has arrived."""
+        data, self.unread = self.unread, b""
+        if data and not self.transport.disconnecting:
+            self.protocol.dataReceived(data)
+
     def disconnect(self, clean: bool = False) -> None:
         """Ends an established connection: by a regular close if ``clean``, otherwise as lost."""
         self.protocol.connectionLost(Failure(error.ConnectionDone() if clean else error.ConnectionLost()))
@@ -121,14 +132,26 @@
             max_connections=max_connections,
             connect_timeout=0.25,
             engine_idle_timeout=15.0,
+            read_pending=self.read_pending,
         )
 
-    def make_attempt(self, engine: str = "a", wait: float = 5.0, token: bytes | None = None) -> Attempt:
+    def read_pending(self, transport: MemoryTransport) -> bool:
+        """Reads what has arrived on a connection, as the reactor does."""
+        for connection in self.connections:
+            if connection.transport is transport:
+                connection.read_unread()
+        return not transport.disconnecting
+
+    def make_attempt(
+        self,
+        engine: str = "a",
+        wait: float = 5.0,
+        token: bytes | None = None,
+        query_id: bytes = b"9b1f03aa5c7e2d41",
+    ) -> Attempt:
         """Creates an attempt that expires after ``wait`` seconds."""
         now = self.clock.seconds()
-        request = AttemptRequest(
-            engine, b"9b1f03aa5c7e2d41", b"report", token, b"SELECT 1", now + wait, now + wait
-        )
+        request = AttemptRequest(engine, query_id, b"report", token, b"SELECT 1", now + wait, now + wait)
         return Attempt(request, self.pools, self.directory, self.counters, self.clock.seconds, self.timers)
 
     def start_attempt(self, **options: Any) -> tuple[Attempt, list[AttemptResult]]:
--- a/tests/test_engine_calls.py
+++ b/tests/test_engine_calls.py
@@ -99,6 +99,21 @@
     assert network.outcomes == {"one": 202, "two": 500}
 
 
+@pytest.mark.parametrize("busy_s", [0.0, 0.02, 0.5])
+def test_duplicate_that_arrived_while_the_front_was_busy_answers_no_other_call(busy_s: float) -> None:
+    """Guards against a rest that is counted by the clock while a copy lies unread on the connection."""
+    network = CallRecorder()
+    network.call("one")
+    connection = network.connections[0].accept()
+    connection.send(http_response(200))
+    connection.arrive(http_response(200))
+    network.advance(REUSE_DELAY_S + busy_s)
+    network.call("two")
+    assert connection.transport.aborted
+    network.connections[1].accept().send(http_response(500))
+    assert network.outcomes == {"one": 200, "two": 500}
+
+
 def test_response_followed_by_garbage_is_delivered_and_its_connection_aborted() -> None:
     network = CallRecorder()
     network.call("one")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -173,8 +173,9 @@
     def max_read_delay(self) -> float:
         return 0.0
 
-    def read_pending(self, transport: Any) -> None:
+    def read_pending(self, transport: Any) -> bool:
         """Nothing waits to be read in memory."""
+        return True
 
     def call_at_iteration_end(self, call: Any) -> None:
         self.callLater(0, call)
