A response answers a call only if it names what was asked

Cause: a further page was asked for on a connection that had not rested, as its number was taken to tell its answer from any other; it does so within one result only. And a response that did not fit its call (another page, another status) left its connection in the pool, where each later response answered the call before its own. Change: a call carries what tells its answer (transport/response_matching.py states the invariant): the status of a DELETE, X-Sheets at the end of a query, X-Sheet with the page's number. A response without it is dropped with its connection and shows nothing of the engine. Only the next page of the same attempt skips the rest, and no retry does.

--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -25,11 +25,19 @@
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.http_messages import HttpResponse, encode_request
 from micahold.protocol.mysql_results import ResultSetEncoder
-from micahold.transport.calls import Call, CallError, CallNotSentError, ConnectError, UnreadableResponseError
+from micahold.transport.calls import (
+    Call,
+    CallError,
+    CallNotSentError,
+    ConnectError,
+    MismatchedResponseError,
+    UnreadableResponseError,
+)
 from micahold.transport.connection_pools import EngineConnectionPools
 from micahold.transport.directory import EngineDirectory, EngineListing
 from micahold.transport.engine_connection import LATE_READ_GRACE_S, RESPONSE_TIMEOUT_S, REUSE_DELAY_S
 from micahold.transport.query_lease import QueryLease
+from micahold.transport.response_matching import PAGE_COUNT_HEADER, expect_delete, expect_page, expect_status
 from micahold.transport.timers import TimerQueue
 
 # A query that brings no usable response for this long is aborted: its engine is lost or cut off.
@@ -41,11 +49,8 @@
 MAX_PAGES = 64
 # Unreadable responses of one attempt, each of which is requested again; one more aborts the attempt.
 MAX_UNREADABLE_RESPONSES = 8
-DELETE_ACKNOWLEDGED = 204
 # Header with value 1: the engine has not started the query.
 UNTOUCHED_HEADER = b"srv-untouched"
-PAGE_COUNT_HEADER = b"x-sheets"
-PAGE_NUMBER_HEADER = b"x-sheet"
 LOAD_HEADER = b"srv-load"
 
 
@@ -119,6 +124,7 @@
         self._current_call: Call | None = None
         self._post_call: Call | None = None
         self._abort_outcome: Outcome | None = None
+        self._number = pools.new_attempt_number()
         self._path = b"/data/" + request.query_id
         self._first_page_response: HttpResponse | None = None
         self._page_count = 0
@@ -156,7 +162,9 @@
             max(0.0, request.expires_at - now), self.abort, Outcome.TIMEOUT
         )
         self._last_contact_at = now
-        self._post_call = self._current_call = self.pools.call(listing, now, self._prepare_post)
+        self._post_call = self._current_call = self.pools.call(
+            listing, now, self._prepare_post, expect_status(self._number)
+        )
         self._post_call.response.addCallbacks(self._handle_status, self._handle_post_failure)
 
     def _prepare_post(self) -> bytes | None:
@@ -206,13 +214,9 @@
         message = b"GET %s/%d%s" % (self._path, page, self._request_suffix)
         self._is_retry = is_retry
         due_at = self._last_request_at + CONTACT_TIMEOUT_S
-        # A page carries its number, so a duplicate of an earlier response can't be mistaken for it.
+        expected = expect_page(self._number, page, is_retry) if page else expect_status(self._number)
         self._current_call = self.pools.call(
-            self._listing,
-            due_at,
-            partial(self._prepare_poll, message),
-            new_connection,
-            self_identifying=page > 0,
+            self._listing, due_at, partial(self._prepare_poll, message), expected, new_connection
         )
         handle_response = self._handle_page if page else self._handle_status
         self._current_call.response.addCallbacks(
@@ -261,8 +265,6 @@
         self._record_response()
         if response.status != 200:
             self._finish(Outcome.ERROR, EndEvidence.RESPONSE, response)
-        elif response.headers.get(PAGE_NUMBER_HEADER) != b"%d" % self._pages_read:
-            self._handle_unreadable(self._pages_read)
         else:
             self._add_page(response)
 
@@ -305,7 +307,8 @@
         elif failure.check(CallError):
             unreadable = failure.check(UnreadableResponseError) is not None
             self._post_processed |= unreadable
-            self._retry_get(0, unreadable=unreadable)
+            mismatched = failure.check(MismatchedResponseError) is not None
+            self._retry_get(0, unreadable=unreadable, mismatched=mismatched)
         else:
             self.abort(Outcome.RESET)
             failure.raiseException()
@@ -318,22 +321,27 @@
         self._retry_get(
             page,
             unreadable=failure.check(UnreadableResponseError) is not None,
+            mismatched=failure.check(MismatchedResponseError) is not None,
             new_connection=not failure.check(ConnectError, CallNotSentError),
         )
 
-    def _retry_get(self, page: int, unreadable: bool, new_connection: bool = True) -> None:
+    def _retry_get(
+        self, page: int, unreadable: bool, mismatched: bool = False, new_connection: bool = True
+    ) -> None:
         """Requests the status or a page again, on a new connection by default.
 
-        Aborts after ``CONTACT_TIMEOUT_S`` without a response or after MAX_UNREADABLE_RESPONSES.
+        Aborts after ``CONTACT_TIMEOUT_S`` without a response or after MAX_UNREADABLE_RESPONSES. A mismatched
+        response does not show that the engine has read the call.
         """
         if self.ended or self._abort_outcome is not None:
             return
         now = self.now()
         if unreadable:
             self._record_response()
-            self._unreadable_count += 1
         else:
             self._lease.connection_closed(now)
+        if unreadable or mismatched:
+            self._unreadable_count += 1
         if self._unreadable_count > MAX_UNREADABLE_RESPONSES:
             self.abort(Outcome.ERROR)
         elif now > self._last_contact_at + CONTACT_TIMEOUT_S:
@@ -401,16 +409,14 @@
     def _send_delete(self, new_connection: bool) -> None:
         assert self._listing is not None
         message = b"DELETE %s%s" % (self._path, self._request_suffix)
-        self._current_call = self.pools.call(self._listing, self.now(), lambda: message, new_connection)
+        self._current_call = self.pools.call(
+            self._listing, self.now(), lambda: message, expect_delete(self._number), new_connection
+        )
         self._current_call.response.addCallbacks(self._handle_delete_response, self._handle_delete_failure)
 
     def _handle_delete_response(self, response: HttpResponse) -> None:
-        """Ends the attempt if the response acknowledges the DELETE; any other may belong to another call."""
+        """Ends the attempt, or sends another DELETE if this one may have overtaken the POST."""
         self.log("attempt_delete_answered", status=response.status)
-        if response.status != DELETE_ACKNOWLEDGED:
-            self.counters.add("engine_deletes_unacknowledged")
-            self._repeat_delete(True)
-            return
         if self._post_processed:
             self._finish_aborted(EndEvidence.DELETED)
             return
@@ -422,6 +428,8 @@
         self._repeat_delete(False)
 
     def _handle_delete_failure(self, failure: Failure) -> None:
+        if failure.check(MismatchedResponseError):
+            self.counters.add("engine_deletes_unacknowledged")
         self._repeat_delete(not failure.check(ConnectError, CallNotSentError))
 
     def _repeat_delete(self, new_connection: bool) -> None:
--- a/micahold/transport/calls.py
+++ b/micahold/transport/calls.py
@@ -10,6 +10,7 @@
 
 from micahold.protocol.http_messages import HttpResponse
 from micahold.transport.directory import EngineListing
+from micahold.transport.response_matching import ExpectedResponse
 
 if TYPE_CHECKING:
     from micahold.transport.engine_connection import EngineConnection
@@ -39,20 +40,32 @@
     """The engine sent data that is not an HTTP response."""
 
 
+class MismatchedResponseError(CallError):
+    """The response does not name what was asked, so it answers another call or none."""
+
+
 class Call:
     """One request to one engine: queued, then written, then ended.
 
     ``response`` fires with the response or with a ``CallError``. ``prepare`` is called right before the first
-    byte; it returns the request, or None if nothing is to be sent any more.
+    byte; it returns the request, or None if nothing is to be sent any more. ``expected`` tells the answer
+    from other responses.
     """
 
-    def __init__(self, listing: EngineListing, due_at: float, prepare: Callable[[], bytes | None]) -> None:
+    def __init__(
+        self,
+        listing: EngineListing,
+        due_at: float,
+        prepare: Callable[[], bytes | None],
+        expected: ExpectedResponse,
+    ) -> None:
         self.listing = listing
+        self.expected = expected
         self.due_at = due_at
         self.prepare: Callable[[], bytes | None] | None = prepare
         self.response: Deferred[HttpResponse] = Deferred()
         self.written = self.ended = False
-        self.new_connection = self.self_identifying = False
+        self.new_connection = False
         self.connection: EngineConnection | None = None
 
     def succeed(self, response: HttpResponse) -> None:
--- a/micahold/transport/connection_pools.py
+++ b/micahold/transport/connection_pools.py
@@ -14,6 +14,7 @@
 from micahold.transport.calls import Call, CallNotSentError, ConnectError
 from micahold.transport.directory import EngineDirectory, EngineListing
 from micahold.transport.engine_connection import EngineConnection, EngineConnectionFactory
+from micahold.transport.response_matching import ExpectedResponse
 from micahold.transport.timers import TimerQueue
 
 # Interval between checks for connections that have been idle for too long.
@@ -57,6 +58,7 @@
         self._retained: dict[EngineListing, int] = {}  # number of attempts that are not over
         self.waiting_calls: list[tuple[float, int, Call]] = []  # heap of due time, tie breaker and call
         self._sequence = count()
+        self._attempt_numbers = count(1)
         self._suspended_until = -inf  # no new connections until then
         self._sweep = (
             clock.callLater(SWEEP_INTERVAL_S, self._close_expired_idle) if self.idle_timeout > 0 else None
@@ -67,19 +69,17 @@
         listing: EngineListing,
         due_at: float,
         prepare: Callable[[], bytes | None],
+        expected: ExpectedResponse,
         new_connection: bool = False,
-        self_identifying: bool = False,
     ) -> Call:
         """Sends a request to an engine, or queues it while no connection is available.
 
         ``prepare`` is called right before the first byte and returns the request, or None to send nothing:
         the call may have waited for a connection meanwhile. ``new_connection`` excludes pooled connections.
-        ``self_identifying`` says that no other response can be mistaken for the one to this request, so that
-        the connection need not have rested.
+        ``expected`` tells the answer from other responses.
         """
-        call = Call(listing, due_at, prepare)
+        call = Call(listing, due_at, prepare, expected)
         call.new_connection = new_connection
-        call.self_identifying = self_identifying
         may_overtake = self._is_suspended()  # the others wait for new connections
         if (self.waiting_calls and not may_overtake) or not self._dispatch(call):
             heappush(self.waiting_calls, (due_at, next(self._sequence), call))
@@ -129,10 +129,8 @@
         the connection must have rested, and what arrived meanwhile is read first, however late the event loop
         is.
         """
-        now = self.clock.seconds()
         for connection in reversed(tuple(self._idle.get(call.listing, ()))):
-            has_rested = connection.idle_since + connection.reuse_delay_s <= now
-            if not (call.self_identifying or has_rested) or not self._read_pending(connection.transport):
+            if not connection.may_carry(call) or not self._read_pending(connection.transport):
                 continue
             if not connection.closing:  # reading has found nothing
                 self._idle[call.listing].remove(connection)
@@ -156,6 +154,10 @@
         """Fails a call in a later reactor turn: the caller must have received the call object before."""
         self.clock.callLater(0, call.fail, CallNotSentError(reason))
 
+    def new_attempt_number(self) -> int:
+        """A number that no other attempt on these pools has."""
+        return next(self._attempt_numbers)
+
     def retain(self, listing: EngineListing) -> None:
         """Keeps connections usable after the end of their listing, until ``release_listing`` as often."""
         self._retained[listing] = self._retained.get(listing, 0) + 1
--- a/micahold/transport/engine_connection.py
+++ b/micahold/transport/engine_connection.py
@@ -12,8 +12,14 @@
 
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.http_messages import HttpResponse, ResponseParser
-from micahold.transport.calls import Call, ConnectionBrokenError, UnreadableResponseError
+from micahold.transport.calls import (
+    Call,
+    ConnectionBrokenError,
+    MismatchedResponseError,
+    UnreadableResponseError,
+)
 from micahold.transport.directory import EngineListing
+from micahold.transport.response_matching import DELETE_ACKNOWLEDGED
 from micahold.transport.timers import Timer
 
 if TYPE_CHECKING:
@@ -28,7 +34,6 @@
 REUSE_DELAY_S = 0.02
 # The same after the response to a DELETE, of which a duplicate would acknowledge the next DELETE.
 DELETE_REUSE_DELAY_S = 0.05
-NO_CONTENT = 204
 # socket(2) and connect(2): the front itself lacks something, which says nothing of the engine.
 LOCAL_CONNECT_ERRORS = frozenset(
     {
@@ -54,6 +59,7 @@
         self.listing = listing
         self.initial_call: Call | None = initial_call
         self.current_call: Call | None = None
+        self.last_attempt = 0  # number of the attempt whose call was sent last
         self.idle_since = 0.0
         self.reuse_delay_s = REUSE_DELAY_S  # after the last response
         self.closing = False
@@ -72,6 +78,7 @@
         """Writes the request of the call and starts the response timeout."""
         transport: Any = self.transport
         self.current_call = call
+        self.last_attempt = call.expected.attempt
         call.connection = self
         call.written = True
         transport.write(request)
@@ -123,10 +130,14 @@
             self._finish_call(call, response)
 
     def _finish_call(self, call: Call, response: HttpResponse) -> None:
-        """Releases or aborts the connection, then delivers the response."""
+        """Releases or aborts the connection, then delivers the response if it answers the call."""
+        if not call.expected.matches(response):
+            self.abort_call()
+            self._fail_mismatched(call)
+            return
         self.current_call = call.connection = None
         self._cancel_response_timer()
-        self.reuse_delay_s = DELETE_REUSE_DELAY_S if response.status == NO_CONTENT else REUSE_DELAY_S
+        self.reuse_delay_s = DELETE_REUSE_DELAY_S if response.status == DELETE_ACKNOWLEDGED else REUSE_DELAY_S
         if response.keep_alive:
             self.pools.release(self)
         else:
@@ -169,10 +180,25 @@
         self.pools.counters.add("engine_connections_lost_in_call")
         call.connection = None
         response = self._reader.connection_closed() if reason.check(twisted_error.ConnectionDone) else None
-        if response is not None:
+        if response is None:
+            call.fail(ConnectionBrokenError(reason.getErrorMessage()))
+        elif call.expected.matches(response):
             call.succeed(response)
         else:
-            call.fail(ConnectionBrokenError(reason.getErrorMessage()))
+            self._fail_mismatched(call)
+
+    def _fail_mismatched(self, call: Call) -> None:
+        self.pools.counters.add("engine_answers_mismatched")
+        call.fail(MismatchedResponseError("the response does not name what was asked"))
+
+    def may_carry(self, call: Call) -> bool:
+        """Whether no copy of the last response can be mistaken for the answer to the call.
+
+        Data that has arrived and is not read yet must be read before; see ``response_matching``.
+        """
+        if call.expected.is_unique and call.expected.attempt == self.last_attempt:
+            return True
+        return bool(self.pools.clock.seconds() >= self.idle_since + self.reuse_delay_s)
 
 
 class EngineConnectionFactory(ClientFactory):
--- a/tests/test_engine_calls.py
+++ b/tests/test_engine_calls.py
@@ -12,6 +12,7 @@
     CallNotSentError,
     ConnectError,
     ConnectionBrokenError,
+    MismatchedResponseError,
     UnreadableResponseError,
 )
 from micahold.transport.connection_pools import EngineConnectionPools
@@ -22,8 +23,11 @@
     RESPONSE_TIMEOUT_S,
     REUSE_DELAY_S,
 )
+from micahold.transport.response_matching import ExpectedResponse, expect_delete, expect_page, expect_status
 from tests.network import EngineHarness, engine_list_event, http_response
 
+ANY_RESPONSE = ExpectedResponse(lambda response: True, attempt=0)
+
 
 class CallRecorder(EngineHarness):
     """Makes calls and records the status or the error type of each under its name."""
@@ -42,7 +46,8 @@
     def call(self, name: str, engine: str = "a", due_at: float = 0.0, **options: Any) -> Any:
         """Makes a call whose request is its name to the first listing of the engine."""
         prepare = options.pop("prepare", name.encode)
-        call = self.pools.call(self.listings[engine], due_at, prepare, **options)
+        expected = options.pop("expected", ANY_RESPONSE)
+        call = self.pools.call(self.listings[engine], due_at, prepare, expected, **options)
         call.response.addCallback(lambda response: self.outcomes.__setitem__(name, response.status))
 
         def failed(failure: Failure) -> None:
@@ -77,26 +82,29 @@
     assert connection.transport.aborted
     network.connections[1].accept().send(http_response(204))
     assert network.outcomes == {"one": 200, "two": 204}
-    network.advance(REUSE_DELAY_S)
-    network.call("page", self_identifying=True)
-    network.connections[1].send(http_response(200))
-    network.call("three", self_identifying=True)
+    network.advance(DELETE_REUSE_DELAY_S)
+    network.call("page", expected=expect_page(1, 1, is_retry=False))
+    network.connections[1].send(http_response(200, X_Sheet="1"))
+    network.call("next page", expected=expect_page(1, 2, is_retry=False))
     assert len(network.connections) == 2
+    network.connections[1].send(http_response(200, X_Sheet="2"))
+    assert network.outcomes == {"one": 200, "two": 204, "page": 200, "next page": 200}
 
 
-@pytest.mark.parametrize("late_s", [0.001, 0.008, 0.015])
-def test_duplicate_response_some_milliseconds_late_answers_no_other_call(late_s: float) -> None:
-    """Otherwise all later responses on its connection answer the call before theirs."""
+@pytest.mark.parametrize(
+    "expected", [expect_status(1), expect_status(2), expect_page(2, 1, False), expect_page(1, 1, True)]
+)
+def test_connection_rests_before_a_call_that_a_duplicate_could_answer(expected: ExpectedResponse) -> None:
+    """Guards against the page of one query that is taken for the page of the same number of another."""
     network = CallRecorder()
-    network.call("one")
+    network.call("page", expected=expect_page(1, 1, is_retry=False))
     connection = network.connections[0].accept()
-    connection.send(http_response(202))
-    network.advance(late_s)
-    network.call("two")
-    connection.send(http_response(202))
+    connection.send(http_response(200, X_Sheet="1"))
+    network.call("other", expected=expected)
+    assert len(network.connections) == 2
+    connection.send(http_response(200, X_Sheet="1"))
     assert connection.transport.aborted
-    network.connections[1].accept().send(http_response(500))
-    assert network.outcomes == {"one": 202, "two": 500}
+    assert network.outcomes == {"page": 200}
 
 
 @pytest.mark.parametrize("busy_s", [0.0, 0.02, 0.5])
@@ -114,6 +122,52 @@
     assert network.outcomes == {"one": 200, "two": 500}
 
 
+@pytest.mark.parametrize(
+    ("expected", "response"),
+    [
+        (expect_status(1), http_response(200)),
+        (expect_status(1), http_response(200, X_Sheet="1")),
+        (expect_status(1), http_response(204)),
+        (expect_page(1, 1, False), http_response(200, X_Sheets="2")),
+        (expect_page(1, 1, False), http_response(200, X_Sheet="2")),
+        (expect_page(1, 1, False), http_response(202)),
+        (expect_page(1, 1, False), http_response(204)),
+        (expect_delete(1), http_response(200, X_Sheets="1")),
+        (expect_delete(1), http_response(202)),
+        (expect_delete(1), http_response(500)),
+        (expect_status(1), b"HTTP/1.0 204 X\r\n\r\n"),
+    ],
+)
+def test_response_that_does_not_name_what_was_asked_closes_its_connection(
+    expected: ExpectedResponse, response: bytes
+) -> None:
+    """Guards against a connection on which each later response answers the call before its own."""
+    network = CallRecorder()
+    network.call("one", expected=expected)
+    connection = network.connections[0].accept()
+    connection.send(response)
+    assert network.outcomes == {"one": MismatchedResponseError}
+    assert connection.transport.aborted
+    network.advance(1.0)
+    network.call("two")
+    assert len(network.connections) == 2
+
+
+@pytest.mark.parametrize("late_s", [0.001, 0.008, 0.015])
+def test_duplicate_response_some_milliseconds_late_answers_no_other_call(late_s: float) -> None:
+    """Otherwise all later responses on its connection answer the call before theirs."""
+    network = CallRecorder()
+    network.call("one")
+    connection = network.connections[0].accept()
+    connection.send(http_response(202))
+    network.advance(late_s)
+    network.call("two")
+    connection.send(http_response(202))
+    assert connection.transport.aborted
+    network.connections[1].accept().send(http_response(500))
+    assert network.outcomes == {"one": 202, "two": 500}
+
+
 def test_response_followed_by_garbage_is_delivered_and_its_connection_aborted() -> None:
     network = CallRecorder()
     network.call("one")
@@ -346,7 +400,7 @@
     )
     listing = network.directory.listing("a")
     assert listing is not None
-    assert pools.call(listing, 0.0, lambda: b"x") is not None
+    assert pools.call(listing, 0.0, lambda: b"x", ANY_RESPONSE) is not None
 
 
 def test_retained_listing_is_called_on_its_connections_after_its_end_and_on_no_new_one() -> None:
