A page with something behind it counts only once it has come twice

Cause: a page that was cut at the end of a row by its stated length was whole by HTTP, and the rows behind it were passed over as noise with their connection. Change: HttpResponse tells whether something else than another response followed. Such a page is asked for again with a GET, which gives the good end again, and counts if the same comes a second time, so that an engine with noise behind each answer is still believed. A second copy behind an answer changes nothing. Tests: four cases of test_page_whose_stated_length_is_too_short_... failed before; the two beside it hold the limits.

--- a/micahold/protocol/http_messages.py
+++ b/micahold/protocol/http_messages.py
@@ -25,13 +25,15 @@
     """One complete final response.
 
     ``headers`` maps field names in lower case to values. ``keep_alive`` tells whether the connection can be
-    used for another request.
+    used for another request. ``has_trailing_data`` tells that something else than another response followed,
+    which may be the rest of a body whose stated length is too short.
     """
 
     status: int
     headers: dict[bytes, bytes]
     body: bytes
     keep_alive: bool
+    has_trailing_data: bool = False
 
 
 def encode_request(
@@ -232,8 +234,13 @@
         assert self._head is not None
         status, headers, keep_alive = self._head
         is_delimited = self._body_length is not None or self._chunked_decoder is not None
+        begins_response = VERSION_PREFIX.startswith(bytes(self._buffer[: len(VERSION_PREFIX)]))
         response = HttpResponse(
-            status, headers, bytes(self._body), keep_alive and is_delimited and not self._buffer
+            status,
+            headers,
+            bytes(self._body),
+            keep_alive and is_delimited and not self._buffer,
+            has_trailing_data=not begins_response,
         )
         self._head = None
         self._body_length = None
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -282,6 +282,49 @@
     assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 3
 
 
+@pytest.mark.parametrize("length", [len(PAGE), 2 * len(PAGE)])
+@pytest.mark.parametrize("spoilt_page", [0, 1])
+def test_page_whose_stated_length_is_too_short_is_not_served_with_rows_missing(
+    spoilt_page: int, length: int
+) -> None:
+    """Guards against a page that a wrong length cuts at the end of a row, while its other rows follow."""
+    network = EngineHarness()
+    _, results = network.start_attempt()
+    connection = first_connection(network)
+    whole = PAGE * 3
+    for page in range(2):
+        number = {"X_Sheet": "1"} if page else {"X_Sheets": "2"}
+        if page == spoilt_page:
+            connection.send(http_response(200, whole[:length], **number) + whole[length:])
+            assert not results
+            network.advance()
+            connection = network.connections[1].accept()
+            assert connection.transport.take_written() == get(page)
+        connection.send(http_response(200, whole, **number))
+    (result,) = results
+    assert result.result_set is not None
+    assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 6
+
+
+def test_page_with_the_same_rows_ahead_of_noise_twice_is_served() -> None:
+    """Guards against an engine whose answers always have noise behind them, and that is never believed."""
+    network = EngineHarness()
+    _, results = network.start_attempt()
+    first_connection(network).send(http_response(200, PAGE, X_Sheets="1") + b"noise")
+    network.advance()
+    network.connections[1].accept().send(http_response(200, PAGE, X_Sheets="1") + b"other noise")
+    (result,) = results
+    assert result.result_set is not None
+    assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")]
+
+
+def test_page_with_a_second_copy_behind_it_is_served_at_once() -> None:
+    network = EngineHarness()
+    _, results = network.start_attempt()
+    first_connection(network).send(2 * http_response(200, PAGE, X_Sheets="1"))
+    assert [result.outcome for result in results] == [Outcome.OK]
+
+
 @pytest.mark.parametrize("failure", ["refuse", "time_out"])
 def test_failed_connect_ends_as_connect_failed(failure: str) -> None:
     network = EngineHarness()
