After a stall the reactor reads all that came in it before anything is decided

Cause: the reactor did not know of the stall. What a long poll returned counted as news and the rest as 0.25 s old at most; and the decisions were made after 16 ready descriptors, with drains and ends of connections still unread. Change: a poll, or the time between two, that is over by more than 0.1 s is a stall. The command channel is read first, then polls without a wait go on until nothing is ready (128 at most); until then waits count from the last poll before it.

--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -133,6 +133,7 @@
         self.channel = CommandChannel(
             clock, configuration.channel, configuration.cursor, self._apply_list_event, counters, log
         )
+        clock.control_transport = lambda: self.channel.transport
         self.collector = GarbageCollector(clock, lambda: self.exchange.unanswered_count == 0, counters.add)
         self.subsystems: Subsystems | None = None
         self._port: Any = None
--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -2,7 +2,9 @@
 
 Twisted registers a descriptor with epoll for each write, removes it afterwards, and runs each event in a
 logging context. This reactor sends at the end of an iteration what was written during it, and registers only
-descriptors whose socket did not take all of its data. It uses private names of the pinned Twisted release;
+descriptors whose socket did not take all of its data. After the process has stood still, it reads all that
+came meanwhile before the calls at the end of the iteration: decisions are made, and data is sent, only on the
+news of the engine list and of clients that have left. It uses private names of the pinned Twisted release;
 ``tests/test_loop.py`` checks that they still behave as expected.
 """
 
@@ -27,6 +29,10 @@
 MAX_UNREAD_S = 0.25
 # Bounds the processor time that a failing poll takes.
 FAILED_POLL_DELAY_S = 0.001
+# An iteration that was this much longer than it was to be: the process stood still.
+STALL_S = 0.1
+# Bounds the polls that catch up after a stall, each of up to MAX_READY_EVENTS descriptors.
+MAX_CATCH_UP_POLLS = 128
 # A poll that took longer than this has blocked: no descriptor was ready when it began.
 MIN_BLOCKING_POLL_S = 0.001
 
@@ -46,6 +52,11 @@
         self._drained_at = self._unread_since = 0.0
         # Since when data may have waited because polls failed; None once all of it is read.
         self._polls_failed_since: float | None = None
+        # Since when data may have waited because the process stood still; None once all of it is read.
+        self._stalled_since: float | None = None
+        self._polled_at = float(self.seconds())  # return of the last poll
+        # Returns the transport with the news of the engine list, which is read first after a stall.
+        self.control_transport: Callable[[], Any] = lambda: None
         super().__init__()  # type: ignore[no-untyped-call]
 
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> FrontPort:
@@ -99,11 +110,13 @@
 
         Without it, the deadline of a query would count from the moment at which a late iteration read the
         query. Data that is ready without a wait arrived after the last poll that returned all ready
-        descriptors; data that a blocking poll waited for has just arrived.
+        descriptors; data that a blocking poll waited for has just arrived, unless the process stood still.
         """
-        delay = max(0.0, min(MAX_UNREAD_S, float(self.seconds()) - self._unread_since))
-        if self._polls_failed_since is not None:
-            delay = max(delay, float(self.seconds()) - self._polls_failed_since)
+        now = float(self.seconds())
+        delay = max(0.0, min(MAX_UNREAD_S, now - self._unread_since))
+        for since in (self._polls_failed_since, self._stalled_since):
+            if since is not None:
+                delay = max(delay, now - since)
         return delay
 
     def _end_iteration(self) -> bool:
@@ -141,9 +154,17 @@
 
     def doPoll(self, timeout: float | None) -> None:
         """Ends the previous iteration, polls for at most ``timeout`` seconds and handles the ready events."""
+        self._note_stall(self._polled_at, self._polled_at)
+        self._catch_up()
         if self._end_iteration():
             # The calls may have closed connections and set timers since the timeout was computed.
             timeout = self.timeout()
+        self._poll(timeout)
+        self._catch_up()
+
+    def _poll(self, timeout: float | None) -> bool:
+        """Polls once and handles the ready events; False if there were none or the poll failed."""
+        self._note_stall(self._polled_at, self._polled_at)
         poll_began_at = self.seconds()
         try:
             ready = self._poller.poll(-1 if timeout is None else timeout, MAX_READY_EVENTS)
@@ -152,8 +173,10 @@
             if self._polls_failed_since is None:
                 self._polls_failed_since = self._unread_since
             time.sleep(FAILED_POLL_DELAY_S)  # it may fail many times in a row
-            return
-        now = self.seconds()
+            return False
+        if timeout is not None:
+            self._note_stall(poll_began_at, poll_began_at + timeout)
+        now = self._polled_at = self.seconds()
         self._unread_since = now if now - poll_began_at > MIN_BLOCKING_POLL_S else self._drained_at
         if len(ready) < MAX_READY_EVENTS:
             self._drained_at = now
@@ -163,6 +186,29 @@
                 self._doReadOrWrite(selectable, descriptor, event)  # type: ignore[no-untyped-call]
         if len(ready) < MAX_READY_EVENTS:
             self._polls_failed_since = None  # all that waited meanwhile is read
+        return bool(ready)
+
+    def _note_stall(self, unread_since: float, due_at: float) -> None:
+        """Notes a stall if it is later than ``due_at`` by over ``STALL_S``, and reads the control transport.
+
+        Data may have waited since ``unread_since``.
+        """
+        if self.seconds() - due_at <= STALL_S:
+            return
+        if self._stalled_since is None:
+            self._stalled_since = unread_since
+        control_transport = self.control_transport()
+        if control_transport is not None:
+            self.read_pending(control_transport)
+
+    def _catch_up(self) -> None:
+        """Reads all that has come while the process stood still, up to the ends of connections."""
+        if self._stalled_since is None:
+            return
+        for _ in range(MAX_CATCH_UP_POLLS):
+            if not self._poll(0.0):
+                break
+        self._stalled_since = None
 
     doIteration = doPoll
 
--- a/micahold/transport/channel.py
+++ b/micahold/transport/channel.py
@@ -136,6 +136,11 @@
         """Value of the Host header."""
         return b"%s:%d" % (self.address[0].encode(), self.address[1])
 
+    @property
+    def transport(self) -> Any:
+        """The transport of the current connection; None while there is none."""
+        return self._connection.transport if self._connection is not None else None
+
     def start(self) -> None:
         """Connects to the current address."""
         self._reconnect_call = None
