A query that waits behind another has the arrival of its own last byte

Cause: ClientSession kept one arrival, that of the newest bytes read, and gave it to each query that it took up later. Change: PacketReader keeps the arrival of each read (256 at most; beyond that the earlier one counts) and returns with a packet that of its last byte. Reads within an unfinished packet keep only the newest. Tests: test_query_behind_another_has_waited_since_it_came failed before; test_packet_has_the_arrival_of_its_last_byte, and the same for any split.

--- a/micahold/protocol/mysql_packets.py
+++ b/micahold/protocol/mysql_packets.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from micahold.protocol.errors import ProtocolError
 
 HEADER_BYTES = 4
+# Reads whose arrival is remembered while packets wait; later ones count as arrived with the last of these.
+MAX_ARRIVALS = 256
 # A packet with a payload of this length continues in the next one; no query here comes near it.
 MAX_PAYLOAD_BYTES = 0xFFFFFF
 
@@ -37,16 +41,26 @@
         self.max_payload_bytes = max_payload_bytes
         self.max_buffered_bytes = max_buffered_bytes
         self._buffer = bytearray()
+        self.packet_arrived_at = 0.0  # arrival of the last byte of the packet that was returned last
+        self._consumed_bytes = 0  # of all packets returned so far
+        # By read: number of bytes received up to its end, and its arrival.
+        self._arrivals: deque[tuple[int, float]] = deque()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes, arrived_at: float = 0.0) -> None:
         """Buffers received data; raises ``ProtocolError`` if more is buffered than the limit."""
         self._buffer += data
+        if data:
+            if len(self._arrivals) >= MAX_ARRIVALS:
+                arrived_at = self._arrivals.pop()[1]
+            self._arrivals.append((self._consumed_bytes + len(self._buffer), arrived_at))
         if len(self._buffer) > self.max_buffered_bytes:
             raise ProtocolError("more sent ahead than is kept")
 
     def clear(self) -> None:
         """Discards the buffered data of a connection that is being closed."""
+        self._consumed_bytes += len(self._buffer)
         self._buffer.clear()
+        self._arrivals.clear()
 
     @property
     def buffered_bytes(self) -> int:
@@ -60,14 +74,30 @@
         """
         buffer = self._buffer
         if len(buffer) < HEADER_BYTES:
+            self._forget_arrivals_but_last()
             return None
         payload_bytes = int.from_bytes(buffer[:3], "little")
         if payload_bytes > self.max_payload_bytes:
             raise ProtocolError("packet too large")
         packet_end = HEADER_BYTES + payload_bytes
         if len(buffer) < packet_end:
+            self._forget_arrivals_but_last()
             return None
         sequence_id = buffer[3]
         payload = bytes(buffer[HEADER_BYTES:packet_end])
         del buffer[:packet_end]
+        self._consume(packet_end)
         return sequence_id, payload
+
+    def _forget_arrivals_but_last(self) -> None:
+        """The packet that comes next is incomplete, so it will have arrived with the last read or later."""
+        while len(self._arrivals) > 1:
+            self._arrivals.popleft()
+
+    def _consume(self, packet_bytes: int) -> None:
+        """Counts a packet that is returned, and notes the arrival of its last byte."""
+        self._consumed_bytes += packet_bytes
+        while self._arrivals and self._arrivals[0][0] < self._consumed_bytes:
+            self._arrivals.popleft()
+        if self._arrivals:
+            self.packet_arrived_at = self._arrivals[0][1]
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -127,7 +127,7 @@
         self._unusable_queries = self._counted_bytes = 0
         self._sequence = 0  # of the next packet to send
         self._nothing_read = True
-        self._arrived_at = 0.0  # earliest time at which the data read last can have arrived
+        self._connected_at_earliest = 0.0  # earliest time at which the connection can have come
 
     # Connection and incoming data
 
@@ -135,7 +135,7 @@
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
         transport.registerProducer(self, True)
-        self._arrived_at = self._earliest_arrival()  # the first data may have arrived with the connection
+        self._connected_at_earliest = self._earliest_arrival()
         if not self.sessions.register(self):
             self._send(error_payload(ER_CON_COUNT_ERROR, "Too many connections"))
             self._close()
@@ -145,11 +145,11 @@
     def dataReceived(self, data: bytes) -> None:
         if self._closing:
             return
-        if data and not self._nothing_read:
-            self._arrived_at = self._earliest_arrival()
+        # The first data may have arrived with the connection.
+        arrived_at = self._connected_at_earliest if self._nothing_read else self._earliest_arrival()
         self._nothing_read = self._nothing_read and not data
         try:
-            self._reader.feed(data)
+            self._reader.feed(data, arrived_at)
             self._process_packets()
         except ProtocolError as error:
             self.sessions.counters.add("client_packets_bad")
@@ -356,7 +356,7 @@
             self._send(error_payload(ER_CON_COUNT_ERROR, "Server shutdown in progress"))
             return
         try:
-            waited = float(self.sessions.clock.seconds()) - self._arrived_at
+            waited = float(self.sessions.clock.seconds()) - self._reader.packet_arrived_at
             self.query_number = self.sessions.handler.submit(parse_query(text), self, waited)
         except ProtocolError as error:
             self._reject_query(ER_PARSE_ERROR, str(error))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -487,3 +487,18 @@
     session.dataReceived(login_packet() + query_with_fields())
     pass_time(harness, 1.0)
     assert not transport.disconnecting and len(harness.handler.queries) == 1
+
+
+def test_query_behind_another_has_waited_since_it_came() -> None:
+    """Guards against a query that gets the time of what came last on its connection, and a late answer."""
+    harness = SessionHarness()
+    session, _ = harness.connect_and_log_in()
+    session.dataReceived(query_with_fields(1))
+    harness.clock.advance(0.5)
+    session.dataReceived(query_with_fields(2))
+    harness.clock.advance(2.0)
+    session.dataReceived(query_with_fields(3))
+    for _ in range(2):
+        harness.handler.replies[-1].fail("no answer")
+        harness.clock.advance(0.0)
+    assert harness.handler.waited == [0.0, 2.0, 0.0]
--- a/tests/test_mysql_protocol.py
+++ b/tests/test_mysql_protocol.py
@@ -18,7 +18,13 @@
     handshake_payload,
     parse_handshake_response,
 )
-from micahold.protocol.mysql_packets import PacketReader, encode_lenenc_int, encode_packet
+from micahold.protocol.mysql_packets import (
+    HEADER_BYTES,
+    MAX_ARRIVALS,
+    PacketReader,
+    encode_lenenc_int,
+    encode_packet,
+)
 from micahold.protocol.mysql_results import FIRST_ROW_SEQUENCE_ID, MAX_RESULT_BYTES, ResultSetEncoder
 from tests.mysql_client import decode_result_set, handshake_response
 
@@ -46,6 +52,50 @@
         assert reader.buffered_bytes == 0
 
 
+def test_packet_has_the_arrival_of_its_last_byte() -> None:
+    """Guards against a query that is given the time of what came behind it on its connection."""
+    reader = PacketReader(1000, 2000)
+    first, second, third = (encode_packet(number, b"x" * 10) for number in range(3))
+    reader.feed(first + second[:3], 1.0)
+    reader.feed(second[3:5], 2.0)
+    reader.feed(second[5:], 3.0)
+    reader.feed(third, 4.0)
+    arrivals = []
+    while reader.next_packet() is not None:
+        arrivals.append(reader.packet_arrived_at)
+    assert arrivals == [1.0, 3.0, 4.0]
+
+
+def test_arrivals_are_kept_for_a_bounded_number_of_reads_and_never_later_than_they_were() -> None:
+    reader = PacketReader(1000, 1_000_000)
+    packet = encode_packet(0, b"x")
+    for number in range(3 * MAX_ARRIVALS):
+        reader.feed(packet, float(number))
+    for number in range(3 * MAX_ARRIVALS):
+        assert reader.next_packet() is not None
+        assert min(number, MAX_ARRIVALS - 1) == reader.packet_arrived_at
+
+
+@given(st.lists(st.integers(0, 40), max_size=12), st.lists(st.integers(1, 30), min_size=40, max_size=80))
+def test_arrivals_hold_for_any_split(payload_sizes: list[int], read_sizes: list[int]) -> None:
+    data = b"".join(encode_packet(0, bytes(size)) for size in payload_sizes)
+    packet_ends, position = [], 0
+    for size in payload_sizes:
+        position += HEADER_BYTES + size
+        packet_ends.append(position)
+    reader, arrivals, arrived, position = PacketReader(1000, 10_000), [], {}, 0
+    for number, size in enumerate([*read_sizes, len(data)]):
+        arrived.update(dict.fromkeys(range(position + 1, min(len(data), position + size) + 1), float(number)))
+        reader.feed(data[position : position + size], float(number))
+        position += size
+        if number % 3 == 0:  # in between, packets wait
+            while reader.next_packet() is not None:
+                arrivals.append(reader.packet_arrived_at)
+    while reader.next_packet() is not None:
+        arrivals.append(reader.packet_arrived_at)
+    assert arrivals == [arrived[end] for end in packet_ends]
+
+
 def test_oversized_packet_is_rejected_from_its_header() -> None:
     reader = PacketReader(10, 100)
     reader.feed((11).to_bytes(3, "little") + b"\0")
--- a/tests/test_parse_time.py
+++ b/tests/test_parse_time.py
@@ -12,8 +12,10 @@
 import pytest
 
 from micahold.protocol.event_stream import MAX_LINE_BYTES, EventStreamParser
+from micahold.protocol.mysql_packets import PacketReader, encode_packet
 from micahold.protocol.query_fields import parse_kill_query, parse_query
 from micahold.protocol.table_group import find_table_group, has_multiple_statements
+from micahold.transport.clients import MAX_PACKET_BYTES, MAX_SESSION_BUFFER_BYTES
 
 FIELDS = b"/* id=9b1f03aa5c7e2d41,class=report,wait=1500 */ "
 # About the largest statement that a client can send in one packet.
@@ -85,3 +87,18 @@
     data = b"id: 4\r\ndata: " + b"x" * (MAX_LINE_BYTES // 4) + b"\r\n\r\n"
     assert feed_in_pieces(data, 100) == 1
     assert least_cpu_time(feed_in_pieces, data, 100) <= MAX_CPU_S
+
+
+def read_pings_behind_many_reads() -> int:
+    """Reads as many small packets as one session may buffer, which came in many reads."""
+    reader = PacketReader(MAX_PACKET_BYTES, MAX_SESSION_BUFFER_BYTES)
+    ping = encode_packet(0, b"\x0e")
+    for number in range(MAX_SESSION_BUFFER_BYTES // len(ping)):
+        reader.feed(ping, float(number))
+    return sum(1 for _ in iter(reader.next_packet, None))
+
+
+def test_small_packets_that_came_in_many_reads_do_not_hold_up_the_event_loop() -> None:
+    """Guards against arrivals that are gone through again for each packet."""
+    assert read_pings_behind_many_reads() == MAX_SESSION_BUFFER_BYTES // 5
+    assert least_cpu_time(read_pings_behind_many_reads) <= MAX_CPU_S
