Queries that expired in their session's line no longer close it

Cause: a session is closed at its third query that can't be used, and one whose wait was over when it was read counted. Change: such a query raises ExpiredQueryError: it is answered with the same error and counted as queries_expired_unread, and its client goes on. A wait of 0 stays a query that can't be used.

--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -22,7 +22,7 @@
 from micahold.protocol.query_fields import ClientQuery
 from micahold.settings import decode_report
 from micahold.transport.attempts import Attempt, AttemptRequest, AttemptResult
-from micahold.transport.clients import QueryReply, UnusableQueryError
+from micahold.transport.clients import ExpiredQueryError, QueryReply, UnusableQueryError
 from micahold.transport.connection_pools import EngineConnectionPools
 from micahold.transport.directory import EngineDirectory
 from micahold.transport.timers import TimerQueue
@@ -130,8 +130,10 @@
             raise UnusableQueryError("this id is open already")
         if query.wait_s > MAX_WAIT_DEADLINE_MULTIPLE * self.settings.classes[class_index].deadline_s:
             raise UnusableQueryError("field wait is out of range")
+        if query.wait_s <= 0:
+            raise UnusableQueryError("field wait is not above 0")
         if remaining <= 0:
-            raise UnusableQueryError("past its wait on arrival")
+            raise ExpiredQueryError("past its wait on arrival")
         if self.settings.classes[class_index].repeat_safety is api.RepeatSafety.KEYED and query.token is None:
             raise UnusableQueryError("field once is missing")
         self._last_number += 1
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -79,6 +79,10 @@
     """A query that is rejected as it stands; the text is sent to the client."""
 
 
+class ExpiredQueryError(UnusableQueryError):
+    """A good query whose wait was over when it was read; its client did nothing wrong."""
+
+
 class QueryReply(TypingProtocol):
     """Receives the one final response to a query."""
 
@@ -360,6 +364,9 @@
             self.query_number = self.sessions.handler.submit(parse_query(text), self, waited)
         except ProtocolError as error:
             self._reject_query(ER_PARSE_ERROR, str(error))
+        except ExpiredQueryError as error:
+            self.sessions.counters.add("queries_expired_unread")
+            self._send(error_payload(ER_UNKNOWN_ERROR, str(error)))
         except UnusableQueryError as error:
             self._reject_query(ER_UNKNOWN_ERROR, str(error))
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -24,6 +24,7 @@
     SWEEP_INTERVAL_S,
     ClientSession,
     ClientSessions,
+    ExpiredQueryError,
     QueryReply,
     UnusableQueryError,
 )
@@ -502,3 +503,16 @@
         harness.handler.replies[-1].fail("no answer")
         harness.clock.advance(0.0)
     assert harness.handler.waited == [0.0, 2.0, 0.0]
+
+
+def test_good_queries_behind_expired_ones_get_their_answers() -> None:
+    """Guards against a session that is closed for queries whose time ran out in its line."""
+    harness = SessionHarness()
+    session, transport = harness.connect_and_log_in()
+    harness.handler.error = ExpiredQueryError("past its wait on arrival")
+    session.dataReceived(b"".join(query_with_fields(number) for number in range(10)))
+    assert len(decode_packets(transport.take_written())) == 10
+    harness.handler.error = None
+    session.dataReceived(query_with_fields(11))
+    assert not transport.disconnecting and len(harness.handler.queries) == 1
+    assert "queries_unusable" not in harness.counters.values
