--- a/micahold/protocol/table_group.py
+++ b/micahold/protocol/table_group.py
@@ -15,12 +15,14 @@
 # comment without an end extends to the end of the statement: an alternative whose opening characters match
 # never fails later, so no byte is read twice and the time grows with the length only.
 TOKEN = re.compile(
-    rb"""'(?:[^'\\]++|\\.|'')*+(?:'|\\?\Z) | "(?:[^"\\]++|\\.|"")*+(?:"|\\?\Z)
+    rb"""'[^'\\]*+(?:(?:\\.|'')[^'\\]*+)*+(?:'|\\?\Z) | "[^"\\]*+(?:(?:\\.|"")[^"\\]*+)*+(?:"|\\?\Z)
     | /\*.*?(?:\*/|\Z) | \#[^\n]* | --(?=[\s]|\Z)[^\n]*
-    | (?P<quoted>`(?:[^`]++|``)*+(?:`|\Z)) | (?P<word>[A-Za-z0-9_$\x80-\xff]+)
+    | (?P<quoted>`[^`]*+(?:``[^`]*+)*+(?:`|\Z)) | (?P<word>[A-Za-z0-9_$\x80-\xff]++)
     | (?P<sign>[.,()]) | (?P<other>[^\s])""",
     re.VERBOSE | re.DOTALL,
 )
+# White space as the pattern above has it, and semicolons.
+STATEMENT_END = b"; \t\n\r\f\v"
 GROUP_SUFFIX = re.compile(rb"_([0-9]{1,9})\Z")
 
 # Keywords that a table name or a list of tables follows.
@@ -127,7 +129,7 @@
 
 def has_multiple_statements(statement: bytes) -> bool:
     """Whether a semicolon is followed by anything but white space, comments and further semicolons."""
-    if b";" not in statement:
+    if b";" not in statement.rstrip(STATEMENT_END):
         return False
     after_semicolon = False
     for token in TOKEN.finditer(statement):
