--- a/micahold/protocol/table_group.py
+++ b/micahold/protocol/table_group.py
@@ -6,8 +6,11 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 
 NO_GROUP = 0
+# In place of the keyword, for a quoted name.
+NO_KEYWORD = b""
 # A schema whose tables belong to no group.
 UNGROUPED_SCHEMA = b"staging"
 
@@ -73,60 +76,84 @@
     references: ``t_3.day`` in a select list uses an alias, and FROM within EXTRACT(...) or TRIM(...) precedes
     a column.
     """
-    # State by depth of parentheses.
-    has_verb = [False]  # a verb has occurred at this depth, so FROM introduces tables
-    expects_table = [False]  # the next name is a table reference
-    in_table_list = [False]  # a comma introduces another table reference
-    name_parts: list[bytes] = []  # parts of the dotted name being read
-    after_dot = False
+    scanner = _TableReferenceScanner()
     for token in TOKEN.finditer(statement):
         kind = token.lastgroup
-        if kind is None or kind == "other":
+        if kind == "sign":
+            scanner.read_sign(token[0])
             continue
-        text = token[0]
-        if kind == "sign" and text == b"." and name_parts:
-            after_dot = True
+        if kind == "word":
+            group = scanner.read_name(token[0], token[0].upper())
+        elif kind == "quoted":
+            group = scanner.read_name(_unquoted_name(token[0]), NO_KEYWORD)
+        else:
             continue
-        if kind != "sign":
-            name = _unquoted_name(text) if kind == "quoted" else text
-            if after_dot:
-                name_parts.append(name)
-                after_dot = False
-                # A name may have any number of parts: its schema is looked at once.
-                group = _schema_group(name_parts[0]) if len(name_parts) == 2 else None
-                if group is not None:
-                    return group
-                continue
-            name_parts = []
-            keyword = b"" if kind == "quoted" else text.upper()
-            # UPDATE in FOR UPDATE and the function REPLACE follow a verb and introduce no table.
-            is_leading_verb = keyword in VERBS and not has_verb[-1]
-            has_verb[-1] = has_verb[-1] or is_leading_verb
-            if (is_leading_verb and keyword in TABLE_VERBS) or (keyword in TABLE_KEYWORDS and has_verb[-1]):
-                expects_table[-1] = in_table_list[-1] = True
-            elif keyword in TABLE_LIST_TERMINATORS:
-                expects_table[-1] = in_table_list[-1] = False
-            elif expects_table[-1] and keyword not in MODIFIERS:
-                name_parts = [name]
-                expects_table[-1] = False
-            continue
-        name_parts = []
-        after_dot = False
-        if text == b"(":
-            # FROM (a, b) holds a list of tables; in FROM (SELECT ...), the verb ends the list.
-            has_verb.append(False)
-            expects_table.append(expects_table[-1])
-            in_table_list.append(in_table_list[-1] and expects_table[-1])
-            expects_table[-2] = False
-        elif text == b")" and len(has_verb) > 1:
-            has_verb.pop()
-            expects_table.pop()
-            in_table_list.pop()
-        elif text == b"," and in_table_list[-1]:
-            expects_table[-1] = True
+        if group is not None:
+            return group
     return NO_GROUP
 
 
+@dataclass(slots=True)
+class _Scope:
+    """What is expected at one depth of parentheses."""
+
+    has_verb: bool = False  # a verb has occurred, so FROM introduces tables
+    expects_table: bool = False  # the next name is a table reference
+    in_table_list: bool = False  # a comma introduces another table reference
+
+
+class _TableReferenceScanner:
+    """Follows the names and signs of a statement up to a table reference whose schema has a group."""
+
+    def __init__(self) -> None:
+        self._scope = _Scope()
+        self._outer_scopes: list[_Scope] = []
+        self._in_table_name = False  # parts of a dotted table name are being read
+        self._schema: bytes | None = None  # its first part, until the second has come
+        self._after_dot = False
+
+    def read_name(self, name: bytes, keyword: bytes) -> int | None:
+        """Reads a word or a quoted name; returns the group if this completes a reference that has one."""
+        if self._after_dot:
+            self._after_dot = False
+            schema = self._schema
+            self._schema = None  # further parts tell nothing of it
+            return _schema_group(schema) if schema is not None else None
+        self._in_table_name = False
+        scope = self._scope
+        # UPDATE in FOR UPDATE and the function REPLACE follow a verb and introduce no table.
+        is_leading_verb = keyword in VERBS and not scope.has_verb
+        if is_leading_verb:
+            scope.has_verb = True
+        if (is_leading_verb and keyword in TABLE_VERBS) or (keyword in TABLE_KEYWORDS and scope.has_verb):
+            scope.expects_table = scope.in_table_list = True
+        elif keyword in TABLE_LIST_TERMINATORS:
+            scope.expects_table = scope.in_table_list = False
+        elif scope.expects_table and keyword not in MODIFIERS:
+            self._in_table_name = True
+            self._schema = name
+            scope.expects_table = False
+        return None
+
+    def read_sign(self, sign: bytes) -> None:
+        """Reads a dot, a comma or a parenthesis."""
+        if sign == b"." and self._in_table_name:
+            self._after_dot = True
+            return
+        self._in_table_name = self._after_dot = False
+        scope = self._scope
+        if sign == b"(":
+            # FROM (a, b) holds a list of tables; in FROM (SELECT ...), the verb ends the list.
+            inner = _Scope(False, scope.expects_table, scope.in_table_list and scope.expects_table)
+            scope.expects_table = False
+            self._outer_scopes.append(scope)
+            self._scope = inner
+        elif sign == b")" and self._outer_scopes:
+            self._scope = self._outer_scopes.pop()
+        elif sign == b"," and scope.in_table_list:
+            scope.expects_table = True
+
+
 def has_multiple_statements(statement: bytes) -> bool:
     """Whether a semicolon is followed by anything but white space, comments and further semicolons."""
     if b";" not in statement.rstrip(STATEMENT_END):
