The head of a response is read in one place, and head and body in functions of their own

The command channel read it by itself, in the same words. Nothing changed but that the channel now ends a connection as soon as it brings something else than HTTP, as calls to engines do, and not only at the end of a head or after 16 KiB. The tests of messages, feeds, channel, calls and attempts passed.

--- a/micahold/protocol/http_messages.py
+++ b/micahold/protocol/http_messages.py
@@ -51,11 +51,37 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + (body or b"")
 
 
-def parse_response_head(head: bytes) -> tuple[int, dict[bytes, bytes], bool]:
+@dataclass(slots=True, frozen=True)
+class ResponseHead:
+    """Status line and header section; ``headers`` and ``keep_alive`` are those of ``HttpResponse``."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    keep_alive: bool
+
+
+def take_response_head(buffer: bytearray) -> ResponseHead | None:
+    """Removes a head from the front of ``buffer`` and parses it; None if it is not complete yet.
+
+    Raises ``ProtocolError`` if the head is too long or malformed, as soon as that shows.
+    """
+    head_end = buffer.find(b"\r\n\r\n")
+    if head_end > MAX_HEAD_BYTES or (head_end < 0 and len(buffer) > MAX_HEAD_BYTES):
+        raise ProtocolError("response head too long")
+    if not VERSION_PREFIX.startswith(bytes(buffer[: len(VERSION_PREFIX)])):
+        # Not deferred to the end of the head, which other data may never contain.
+        raise ProtocolError("not an HTTP/1.x response")
+    if head_end < 0:
+        return None
+    head = parse_response_head(bytes(buffer[:head_end]))
+    del buffer[: head_end + 4]
+    return head
+
+
+def parse_response_head(head: bytes) -> ResponseHead:
     """Parses the status line and the header section, without the empty line that ends them.
 
-    Returns the status code, the header fields by name in lower case, and whether the connection persists
-    after the response. Raises ``ProtocolError`` if the head is malformed.
+    Raises ``ProtocolError`` if the head is malformed.
     """
     status_line, *field_lines = head.split(b"\r\n")
     version, _, status_and_reason = status_line.partition(b" ")
@@ -75,7 +101,7 @@
             raise ProtocolError("conflicting values of one header field")
         headers[name] = value
     connection_option = headers.get(b"connection", b"").lower()
-    return (
+    return ResponseHead(
         int(status_and_reason[:3]),
         headers,
         connection_option != b"close" and (version == b"HTTP/1.1" or connection_option == b"keep-alive"),
@@ -155,7 +181,7 @@
     def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self._max_body_bytes = max_body_bytes
         self._buffer = bytearray()
-        self._head: tuple[int, dict[bytes, bytes], bool] | None = None
+        self._head: ResponseHead | None = None
         self._body_length: int | None = None
         self._chunked_decoder: ChunkedDecoder | None = None
         self._body = bytearray()
@@ -171,29 +197,32 @@
             if response is not None:
                 return response
         self._buffer += data
-        while self._head is None:
-            head_end = self._buffer.find(b"\r\n\r\n")
-            if head_end > MAX_HEAD_BYTES or (head_end < 0 and len(self._buffer) > MAX_HEAD_BYTES):
-                raise ProtocolError("response head too long")
-            if not VERSION_PREFIX.startswith(bytes(self._buffer[: len(VERSION_PREFIX)])):
-                # Not deferred to the end of the head, which other data may never contain.
-                raise ProtocolError("not an HTTP/1.x response")
-            if head_end < 0:
-                return None
-            head = parse_response_head(bytes(self._buffer[:head_end]))
-            del self._buffer[: head_end + 4]
-            if head[0] < 200:
-                self._interim_responses += 1
-                if self._interim_responses > MAX_INTERIM_RESPONSES:
-                    raise ProtocolError("too many interim responses")
-                continue  # the final response follows
-            self._head = head
-            self._chunked_decoder = ChunkedDecoder() if is_chunked(head[1]) else None
-            self._body_length = None if self._chunked_decoder else body_length(head[0], head[1])
-            if self._body_length is None and self._chunked_decoder is None and head[0] == 200:
-                raise ProtocolError("200 response without Content-Length or chunked transfer coding")
-            if self._body_length is not None and self._body_length > self._max_body_bytes:
-                raise ProtocolError("response body too long")
+        if self._head is None and not self._read_head():
+            return None
+        return self._finish() if self._read_body() else None
+
+    def _read_head(self) -> bool:
+        """Reads the head of the final response, after those of interim ones; False if it is incomplete."""
+        while True:
+            head = take_response_head(self._buffer)
+            if head is None:
+                return False
+            if head.status >= 200:
+                break
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                raise ProtocolError("too many interim responses")
+        self._head = head
+        self._chunked_decoder = ChunkedDecoder() if is_chunked(head.headers) else None
+        self._body_length = None if self._chunked_decoder else body_length(head.status, head.headers)
+        if self._body_length is None and self._chunked_decoder is None and head.status == 200:
+            raise ProtocolError("200 response without Content-Length or chunked transfer coding")
+        if self._body_length is not None and self._body_length > self._max_body_bytes:
+            raise ProtocolError("response body too long")
+        return True
+
+    def _read_body(self) -> bool:
+        """Reads as much of the body as has come; True if that completes the response."""
         if self._chunked_decoder is not None:
             self._body += self._chunked_decoder.decode(self._buffer)
         elif self._body_length is not None:
@@ -205,23 +234,23 @@
             self._buffer.clear()
         if len(self._body) > self._max_body_bytes:
             raise ProtocolError("response body too long")
-        is_complete = (
-            self._chunked_decoder.complete if self._chunked_decoder else self._body_length == len(self._body)
-        )
-        return self._finish() if is_complete else None
+        if self._chunked_decoder is not None:
+            return self._chunked_decoder.complete
+        return self._body_length == len(self._body)
 
     def _parse_whole(self, data: bytes) -> HttpResponse | None:
         """Fast path for data that is exactly one final response of known length; None for all other data."""
         head_end = data.find(b"\r\n\r\n")
         if not 0 < head_end <= MAX_HEAD_BYTES:
             return None
-        status, headers, keep_alive = parse_response_head(data[:head_end])
-        length = body_length(status, headers)
-        if status < 200 or length is None or is_chunked(headers) or len(data) != head_end + 4 + length:
+        head = parse_response_head(data[:head_end])
+        length = body_length(head.status, head.headers)
+        is_whole = length is not None and len(data) == head_end + 4 + length
+        if head.status < 200 or length is None or is_chunked(head.headers) or not is_whole:
             return None
         if length > self._max_body_bytes:
             raise ProtocolError("response body too long")
-        return HttpResponse(status, headers, data[head_end + 4 :], keep_alive)
+        return HttpResponse(head.status, head.headers, data[head_end + 4 :], head.keep_alive)
 
     def connection_closed(self) -> HttpResponse | None:
         """Returns the response that the end of the connection completes, or None if there is none."""
@@ -232,14 +261,14 @@
     def _finish(self) -> HttpResponse:
         """Returns the current response and prepares for the next."""
         assert self._head is not None
-        status, headers, keep_alive = self._head
+        head = self._head
         is_delimited = self._body_length is not None or self._chunked_decoder is not None
         begins_response = VERSION_PREFIX.startswith(bytes(self._buffer[: len(VERSION_PREFIX)]))
         response = HttpResponse(
-            status,
-            headers,
+            head.status,
+            head.headers,
             bytes(self._body),
-            keep_alive and is_delimited and not self._buffer,
+            head.keep_alive and is_delimited and not self._buffer,
             has_trailing_data=not begins_response,
         )
         self._head = None
--- a/micahold/transport/channel.py
+++ b/micahold/transport/channel.py
@@ -12,13 +12,7 @@
 from micahold.counters import Counters
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.event_stream import EventStreamParser, ServerSentEvent
-from micahold.protocol.http_messages import (
-    MAX_HEAD_BYTES,
-    ChunkedDecoder,
-    encode_request,
-    is_chunked,
-    parse_response_head,
-)
+from micahold.protocol.http_messages import ChunkedDecoder, encode_request, is_chunked, take_response_head
 
 CHANNEL_PATH = b"/cmd/next"
 # The server sends a comment every second; the connection is dropped after two missed in a row.
@@ -64,17 +58,13 @@
         """Parses the response head, then delivers events; raises ``ProtocolError`` on unusable data."""
         self._buffer += data
         if not self._in_body:
-            end = self._buffer.find(b"\r\n\r\n")
-            if end > MAX_HEAD_BYTES or (end < 0 and len(self._buffer) > MAX_HEAD_BYTES):
-                raise ProtocolError("a head that is too long")
-            if end < 0:
+            head = take_response_head(self._buffer)
+            if head is None:
                 return
-            status, headers, _ = parse_response_head(bytes(self._buffer[:end]))
-            if status != 200:
-                raise ProtocolError(f"status {status}")
-            del self._buffer[: end + 4]
+            if head.status != 200:
+                raise ProtocolError(f"status {head.status}")
             self._in_body = True
-            self._chunks = ChunkedDecoder() if is_chunked(headers) else None
+            self._chunks = ChunkedDecoder() if is_chunked(head.headers) else None
         if self._chunks is not None:
             data = self._chunks.decode(self._buffer)
         else:
