--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -36,6 +36,8 @@
         ...
 
 
+# Until an overdue query is looked at again while the controller has events that it has not processed.
+OVERDUE_RETRY_DELAY_S = 0.001
 MAX_WAIT_DEADLINE_MULTIPLE = 2.0  # a client wait above this multiple of its class's deadline is implausible
 
 
@@ -256,7 +258,9 @@
         open_query = self.open_queries[number]
         if self._pending_events:
             # The event loop runs late: the controller has not yet processed events that were due earlier.
-            open_query.overdue_timer = self.timers.call_later(0.001, self._fail_overdue, number)
+            open_query.overdue_timer = self.timers.call_later(
+                OVERDUE_RETRY_DELAY_S, self._fail_overdue, number
+            )
             return
         self.counters.add("queries_overdue")
         self.log("query_overdue", id=open_query.request.id.decode())
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -64,7 +64,6 @@
 ER_BAD_DB_ERROR = 1049
 ER_ACCESS_DENIED_ERROR = 1045
 ER_UNKNOWN_COM_ERROR = 1047
-ER_SERVER_SHUTDOWN = 1053
 ER_PARSE_ERROR = 1064
 ER_NO_SUCH_THREAD = 1094
 ER_UNKNOWN_ERROR = 1105
@@ -237,7 +236,7 @@
 
     def _earliest_arrival(self) -> float:
         """The earliest time at which the data being read now can have arrived."""
-        earliest = float(self.sessions.clock.seconds()) - self.sessions.unread_for()
+        earliest = float(self.sessions.clock.seconds()) - self.sessions.max_read_delay()
         unread_since: float | None = getattr(self.transport, "unread_since", None)
         return earliest if unread_since is None else min(earliest, unread_since)
 
@@ -437,17 +436,17 @@
         log: Callable[..., None],
         seed: int,
         max_sessions: int,
-        unread_for: Callable[[], float] = lambda: 0.0,
+        max_read_delay: Callable[[], float] = lambda: 0.0,
         max_buffered_bytes: int = 4 * 1024 * 1024,
         read_pending: Callable[[Any], None] = lambda transport: None,
     ) -> None:
-        """``unread_for`` returns for how many seconds the data being read now may have been waiting.
+        """``max_read_delay`` returns for how many seconds the data being read now may have been waiting.
 
         ``read_pending`` reads at once what has arrived on a transport, without a wait.
         """
         self.read_pending = read_pending
         self.is_closing = False
-        self.unread_for = unread_for
+        self.max_read_delay = max_read_delay
         self.buffered_bytes = 0  # received by all sessions together and not processed yet
         self.max_buffered_bytes = max_buffered_bytes
         self._next_sweep = 0.0
