Experiments: a site keeps its ports while a server of it is not listening

Cause: a front's port was asked of the system and let go before the front listened, and again while a front was killed and started anew. Within that time another site side by side could get it for one of its servers: test_failing_connects then had the answers of another site's front ('this id is open already'), resets and 'Address already in use'. Change: a socket that is bound and never listens holds the port (ReservedPort) for fronts, engines, channels and proxies; connections to it are still refused. A failing scenario names its site and error.

--- a/micahold/laboratory/front_process.py
+++ b/micahold/laboratory/front_process.py
@@ -6,31 +6,25 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
+from micahold.laboratory.reserved_port import ReservedPort
+
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
 
 
-def free_port() -> int:
-    """A TCP port on loopback that was free at the time of the call."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class FrontProcess:
     """One front, which can be started more than once; ``log_path`` collects the log of all its lives."""
 
     def __init__(self, name: str, folder: Path, configuration: dict[str, Any]) -> None:
         self.name = name
-        self.port = free_port()
+        self._reserved_port = ReservedPort()
+        self.port = self._reserved_port.port
         self.configuration = {**configuration, "name": name, "listen": f"127.0.0.1:{self.port}"}
         self.config_path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
--- a/micahold/laboratory/loopback_listener.py
+++ b/micahold/laboratory/loopback_listener.py
@@ -4,18 +4,20 @@
 
 import asyncio
 
+from micahold.laboratory.reserved_port import LOOPBACK, ReservedPort
+
 
 class LoopbackListener:
     """Base of the emulated servers; a subclass handles its connections in ``serve``."""
 
     def __init__(self) -> None:
-        self.port = 0
+        self._reserved_port = ReservedPort()
+        self.port = self._reserved_port.port
         self._listener: asyncio.Server | None = None
 
-    async def start(self, port: int = 0) -> None:
-        """Listens on a free port of the loopback interface, or on ``port``."""
-        self._listener = await asyncio.start_server(self.serve, "127.0.0.1", port)
-        self.port = self._listener.sockets[0].getsockname()[1]
+    async def start(self) -> None:
+        """Listens on its port of the loopback interface, for the first time or again."""
+        self._listener = await asyncio.start_server(self.serve, LOOPBACK, self.port)
 
     def close_listener(self) -> None:
         """Refuses new connections, as a draining server does; established ones go on."""
--- a/micahold/laboratory/soak.py
+++ b/micahold/laboratory/soak.py
@@ -278,8 +278,8 @@
         if drains:
             self._end_engine(engine)
         await asyncio.sleep(0.2)
-        await engine.start(engine.port)
-        await proxy.start(proxy.port)
+        await engine.start()
+        await proxy.start()
         self.site.list_as(engine, "Ready")
         self.busy_engines.discard(fault.target)
 
--- a/tests/failing_calls.py
+++ b/tests/failing_calls.py
@@ -72,7 +72,12 @@
 
     async def run_all() -> None:
         results: list[Any] = await asyncio.gather(*map(run_one, errors), return_exceptions=True)
-        assert [result for result in results if result is not None] == []
+        failures = {
+            errno.errorcode.get(error, "SHORT"): result
+            for error, result in zip(errors, results, strict=True)
+            if result is not None
+        }
+        assert not failures, failures
 
     asyncio.run(run_all())
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -10,10 +10,9 @@
 from typing import Any
 
 from micahold.laboratory.emulated_channel import member
-from micahold.laboratory.front_process import free_port
 from tests import mysql_client
 
-__all__ = ["Channel", "Client", "Engine", "configuration", "free_port", "list_event", "member", "wait_until"]
+__all__ = ["Channel", "Client", "Engine", "configuration", "list_event", "member", "wait_until"]
 
 SETTINGS: dict[str, Any] = {
     "siblings": 1,
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -14,8 +14,9 @@
 
 import pytest
 
+from micahold.laboratory.reserved_port import ReservedPort
 from tests.mysql_client import ServerError, command_packet, query_packet
-from tests.standins import Channel, Client, Engine, configuration, free_port, list_event, member, wait_until
+from tests.standins import Channel, Client, Engine, configuration, list_event, member, wait_until
 
 ROOT = Path(__file__).parent.parent
 ROWS = [(b"a", b"1", b"x"), (b"b", b"2", b"y"), (b"c", b"3", b"")]
@@ -27,7 +28,8 @@
     def __init__(self, folder: Path, **changes: Any) -> None:
         self.engine = Engine()
         self.channel = Channel()
-        self.port = free_port()
+        self._reserved_port = ReservedPort()
+        self.port = self._reserved_port.port
         config = {**configuration(self.port, self.channel.port, self.engine.port), **changes}
         path = folder / "config.json"
         path.write_text(json.dumps(config))
--- a/tests/test_gossip_loopback.py
+++ b/tests/test_gossip_loopback.py
@@ -17,6 +17,7 @@
 from click.testing import CliRunner
 
 from micahold.commands.cli import main as command
+from micahold.laboratory.reserved_port import ReservedPort
 from micahold.membership.signing import (
     Ed25519Signer,
     KeyFileError,
@@ -26,7 +27,7 @@
     write_public_keys,
     write_signing_keys,
 )
-from tests.standins import Channel, Client, Engine, configuration, free_port, list_event, member, wait_until
+from tests.standins import Channel, Client, Engine, configuration, list_event, member, wait_until
 
 ROOT = Path(__file__).parent.parent
 ROWS = 3
@@ -236,7 +237,8 @@
 
 
 def test_front_without_gossip_imports_none_of_it_and_uses_no_more_memory(folder: Path) -> None:
-    (folder / "c.json").write_text(json.dumps(configuration(free_port(), free_port())))
+    listener, channel = ReservedPort(), ReservedPort()
+    (folder / "c.json").write_text(json.dumps(configuration(listener.port, channel.port)))
     script = (
         "import sys, threading, os, signal\n"
         "from micahold.program import front\n"
@@ -270,7 +272,8 @@
 
 
 def test_unusable_operator_file_is_reported_and_exits_with_status_2(folder: Path) -> None:
-    (folder / "c.json").write_text(json.dumps(configuration(free_port(), free_port())))
+    listener, channel = ReservedPort(), ReservedPort()
+    (folder / "c.json").write_text(json.dumps(configuration(listener.port, channel.port)))
     (folder / "o.sexp").write_text('(gossip (listen "127.0.0.1:1") (rate x))')
     environment = {
         **os.environ,
