--- a/micahold/controller.py
+++ b/micahold/controller.py
@@ -17,12 +17,12 @@
 from collections import deque
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, replace
-from hashlib import blake2b
 from heapq import heappop, heappush
 from itertools import count, islice
 from random import Random
 
 from micahold import interface as api
+from micahold.engine_order import EngineOrders
 from micahold.query import Query
 
 # Cost calibration and token buckets
@@ -279,6 +279,10 @@
         # A random offset per gateway, so that cold windows do not start at all gateways at once.
         self.cold_phase_s = random.random() * settings.rules.cold_window_s
 
+    def decayed_at(self) -> float:
+        """When what failures were observed has decayed."""
+        return self.failure_decayed_at + 10 * HEALTH_HALF_LIFE_S
+
     def is_cold(self, now: float) -> bool:
         """Whether the engine started so recently that its cold-start budget applies."""
         return self.entry.started_at > 0 and now < self.entry.started_at + self.settings.rules.cold_duration_s
@@ -429,11 +433,14 @@
         # Moving average: 1 for an attempt without an answer in time on an engine that still responds, 0 for
         # a success.
         self.unanswered_share = 0.0
-        self.hash_orders = dict[int, EngineViews]()  # by table group
+        self.orders = EngineOrders()  # of the listed engines, by table group
+        self.departed = dict[str, EngineView]()  # views of engines that are gone, while they are kept
+        self.earliest_expiry = math.inf  # before it no view of an engine that is gone has decayed
         self.active_engines = dict[str, EngineView]()  # engines with attempts of this gateway in flight
         self.threads_in_flight = 0  # of this gateway, on all engines
-        self.total_cores = 0.0  # of all engines that are up
-        self.own_cores = 0.0  # this gateway's share of the cores of listed engines
+        self._total_cores = 0.0
+        self._own_cores = 0.0
+        self._cores_changed = False  # by the list; the sums are computed when they are needed next
         self.mean_others_per_core = 0.0  # moving average over load reports
         self.sorted_slowness = list[float]()  # log slowness of the observed engines, ascending
         self.median_slowness = 0.0
@@ -463,54 +470,86 @@
                 report.valid_until if view.entry.engine in report.draining else -math.inf
             )
 
-    def hash_order(self, table_group: int) -> list[EngineView]:
-        """The listed engines by rendezvous hash of table group and engine, kept until the list changes."""
-        if table_group not in self.hash_orders:
-            ranks = {
-                engine: blake2b(f"{table_group}:{engine}".encode(), digest_size=8).digest()
-                for engine in self.listed
-            }
-            self.hash_orders[table_group] = sorted(
-                self.listed.values(), key=lambda view: ranks[view.entry.engine]
-            )
-        return self.hash_orders[table_group]
+    def hash_order(self, table_group: int, descending: bool = False) -> Iterator[EngineView]:
+        """Yields the listed engines by rendezvous hash of table group and engine."""
+        listed = self.listed
+        return (listed[engine] for engine in self.orders.order(table_group, descending))
 
     def update_engine_list(self, now: float, update: api.ListUpdate) -> None:
-        """Applies an update of the engine list and recomputes what is derived from it.
+        """Applies an update of the engine list, in a time that depends on the engines it names.
 
         Engine ids are never reused. The view of an engine that is gone is kept while attempts are in flight
         on it and until its observations have decayed. A restart under the same id clears the observations.
         """
         if update.kind in (api.ListKind.FULL, api.ListKind.RESTORED):
-            for view in self.engines.values():
-                view.entry = replace(view.entry, state=api.EngineState.GONE)
+            named = {entry.engine for entry in update.entries}
+            for engine in self.listed.keys() - named:
+                self.apply_entry(now, replace(self.listed[engine].entry, state=api.EngineState.GONE))
         for entry in update.entries:
-            new_view = EngineView(entry, self.settings, now, self.random, self.group_size)
-            view = self.engines.setdefault(entry.engine, new_view)
-            if entry.started_at > view.entry.started_at:
-                view.failure_level = 0.0
-                view.log_slowness = 0.0
-                view.half_open = False
-                view.slowness_updated_at = -math.inf
-                view.suspected_until = -math.inf
-            view.entry = entry
-        previously_listed = self.listed
-        gone = api.EngineState.GONE
-        self.listed = {engine: view for engine, view in self.engines.items() if view.entry.state is not gone}
-        self.hash_orders = self.hash_orders if previously_listed.keys() == self.listed.keys() else {}
-        kept = {
-            engine: view
-            for engine, view in self.engines.items()
-            if view.in_flight or now < view.failure_decayed_at + 10 * HEALTH_HALF_LIFE_S
-        }
-        self.engines = self.listed | kept
-        self.total_cores = sum(
-            view.cores for view in self.listed.values() if view.entry.state is api.EngineState.UP
-        )
-        self.own_cores = sum(view.cores * view.capacity_share for view in self.listed.values())
-        self.sorted_slowness = sorted(
-            view.log_slowness for view in self.engines.values() if view.slowness_updated_at > -math.inf
-        )
+            self.apply_entry(now, entry)
+        if now >= self.earliest_expiry:
+            self.forget_decayed_views(now)
+        self._cores_changed = True
+
+    def apply_entry(self, now: float, entry: api.EngineEntry) -> None:
+        """Applies one entry of the engine list."""
+        new_view = EngineView(entry, self.settings, now, self.random, self.group_size)
+        view = self.engines.setdefault(entry.engine, new_view)
+        if entry.started_at > view.entry.started_at:
+            self.forget_slowness(view)
+            view.failure_level = 0.0
+            view.log_slowness = 0.0
+            view.half_open = False
+            view.suspected_until = -math.inf
+        view.entry = entry
+        if entry.state is not api.EngineState.GONE:
+            self.departed.pop(entry.engine, None)
+            self.listed[entry.engine] = view
+            self.orders.add(entry.engine)
+            return
+        self.listed.pop(entry.engine, None)
+        self.orders.remove(entry.engine)
+        self.departed[entry.engine] = view
+        self.earliest_expiry = min(self.earliest_expiry, view.decayed_at())
+
+    def forget_decayed_views(self, now: float) -> None:
+        """Drops the views of engines that are gone, have no attempt in flight and whose failures decayed."""
+        for engine, view in list(self.departed.items()):
+            if not view.in_flight and now >= view.decayed_at():
+                self.forget_slowness(view)
+                del self.departed[engine], self.engines[engine]
+        self.earliest_expiry = min((view.decayed_at() for view in self.departed.values()), default=math.inf)
+
+    def forget_slowness(self, view: EngineView) -> None:
+        """Takes the slowness of an engine out of the median, if it was observed."""
+        if view.slowness_updated_at > -math.inf:
+            del self.sorted_slowness[bisect_left(self.sorted_slowness, view.log_slowness)]
+            view.slowness_updated_at = -math.inf
+
+    @property
+    def total_cores(self) -> float:
+        """The cores of all engines that are up."""
+        self._sum_cores()
+        return self._total_cores
+
+    @property
+    def own_cores(self) -> float:
+        """This gateway's share of the cores of listed engines."""
+        self._sum_cores()
+        return self._own_cores
+
+    def add_own_cores(self, change: float) -> None:
+        """Adds a change of this gateway's share of one engine, in cores."""
+        self._own_cores += change
+
+    def _sum_cores(self) -> None:
+        """Computes both sums over the listed engines if the list has changed since."""
+        if not self._cores_changed:
+            return
+        self._cores_changed = False
+        views = self.listed.values()
+        self._total_cores = sum(view.cores for view in views if view.entry.state is api.EngineState.UP)
+        self._own_cores = sum(view.cores * view.capacity_share for view in views)
 
     def is_allowed(self, query: Query, engine: EngineView) -> bool:
         """Whether the rules permit the query on the engine at all (rules 2, 3 and 6).
@@ -651,7 +690,7 @@
         reverse = query.query_class.is_data_load and any(
             query_class.waits_for_data_loads for query_class in self.settings.classes
         )
-        for engine in self.hash_order(query.arrival.table_group)[:: -1 if reverse else 1]:
+        for engine in self.hash_order(query.arrival.table_group, descending=reverse):
             if (
                 now < engine.drain_reported_until
                 or not self.is_allowed(query, engine)
@@ -1132,7 +1171,7 @@
         step = min(0.5, SHARE_STEP * elapsed_s / TICK_S)
         self.blocked_queues.clear()
         for engine in list(self.router.active_engines.values()):
-            self.router.own_cores += engine.adjust_share(self.now, step)
+            self.router.add_own_cores(engine.adjust_share(self.now, step))
             engine.update_silence(self.now, self.settings.status_period_s)
             for query in list(engine.in_flight.values()) if engine.is_silent else ():
                 self.restart_attempt(query)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -337,13 +337,13 @@
 def test_exactly_the_modules_of_the_policy_list_construct_send_refuse_and_fail() -> None:
     """Guards against a choice of engine, a retry or a refusal that is decided outside the listed modules."""
     policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
-    assert policy == ["micahold/controller.py"]
+    assert policy == ["micahold/controller.py", "micahold/engine_order.py"]
     constructed = {
         path.relative_to(ROOT).as_posix(): constructed_actions(path.read_text())
         for path in (ROOT / "micahold").rglob("*.py")
     }
-    assert {path for path, actions in constructed.items() if actions} == set(policy)
-    assert set().union(*(constructed[path] for path in policy)) == DECIDING_ACTIONS
+    assert {path for path, actions in constructed.items() if actions} == {policy[0]}
+    assert constructed[policy[0]] == DECIDING_ACTIONS
     text = (ROOT / policy[0]).read_text()
     lines = text.splitlines()
     assert max(map(len, lines)) <= 110
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -243,7 +243,8 @@
     router = gateway.controller.router
     assert len(router.engines) < 70
     assert len(router.sorted_slowness) <= len(router.engines)
-    assert len(router.hash_orders) <= 1
+    gateway.submit_query()
+    assert router.orders.kept_entries() <= len(router.listed)
 
 
 def test_a_view_is_kept_while_an_attempt_is_in_flight_on_its_gone_engine() -> None:
