--- a/micahold/transport/directory.py
+++ b/micahold/transport/directory.py
@@ -32,16 +32,18 @@
 
     def update(self, list_event: EngineListEvent) -> list[EngineListing]:
         """Applies an event of the engine list; returns the listings that it ends."""
+        gone = set[str]()
         if list_event.update.kind in (ListKind.FULL, ListKind.RESTORED):
+            gone = set(self._states)
             self._states.clear()
         for entry in list_event.update.entries:
-            self._states[entry.engine] = entry.state
-        self._states = {
-            engine: state for engine, state in self._states.items() if state is not EngineState.GONE
-        }
-        ended = [listing for engine, listing in self._listings.items() if engine not in self._states]
-        for listing in ended:
-            del self._listings[listing.engine]
+            if entry.state is EngineState.GONE:
+                self._states.pop(entry.engine, None)
+                gone.add(entry.engine)
+            else:
+                self._states[entry.engine] = entry.state
+        gone.difference_update(self._states)
+        ended = [self._listings.pop(engine) for engine in sorted(gone & self._listings.keys())]
         for engine, (host, port) in list_event.addresses.items():
             current = self._listings.get(engine)
             if engine not in self._states or (current is not None and current[1:3] == (host, port)):
