--- a/tests/test_system_faults.py
+++ b/tests/test_system_faults.py
@@ -10,7 +10,7 @@
 
 
 def test_fault_with_a_span_ends_without_the_process_that_set_it(tmp_path: Path) -> None:
-    """Guards against spans that grow with that process's delays: answers were late that the plan kept back."""
+    """Guards against spans that grow with its delays: answers came too late that the plan itself held."""
     experiment, front = SystemFaults(tmp_path / "faults"), SystemFaults(tmp_path / "faults")
     experiment.fail("send", errno.ENOMEM, seconds=0.02)
     experiment.fail("recv", errno.EINTR, times=1, seconds=60.0)
