Query fields: estimates are read as programs print floating-point numbers

Cause: the pattern took 12 digits after the point and no exponent. Change: 20 digits before the point, 24 after it, and an exponent; what is out of range is still refused, and so is a wait of over 1e12 ms, which the number of digits had bounded before. Measured: the five numbers of the test were refused before, as was each of them by repr; all are read now.

--- a/micahold/protocol/query_fields.py
+++ b/micahold/protocol/query_fields.py
@@ -7,14 +7,16 @@
 
 import re
 from dataclasses import dataclass
-from math import inf
 
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.table_group import find_table_group, has_multiple_statements
 
 QUERY_ID = re.compile(rb"[0-9a-f]{16}")
 VISIBLE_ASCII = re.compile(rb"[!-~]{1,200}")
-DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,12})?")
+# As programs print floating-point numbers: up to 17 significant digits, with an exponent where it is short.
+DECIMAL_NUMBER = re.compile(rb"[0-9]{1,20}(\.[0-9]{1,24})?([eE][+-]?[0-9]{1,3})?")
+# About 30 years; no client waits longer.
+MAX_WAIT_MS = 1e12
 # Possessive: white space before something else at the end is read once.
 KILL_QUERY = re.compile(rb"\s*+KILL\s++QUERY\s++([0-9]{1,20}+)\s*+(?:;\s*+)?", re.IGNORECASE)
 # About a day on one core; no estimate is higher.
@@ -61,7 +63,7 @@
     return fields
 
 
-def _parse_number(fields: dict[bytes, bytes], name: bytes, maximum: float = inf) -> float | None:
+def _parse_number(fields: dict[bytes, bytes], name: bytes, maximum: float) -> float | None:
     """Returns a field as a number of at most ``maximum``; None if the field is absent."""
     value = fields.get(name)
     if value is None:
@@ -95,7 +97,7 @@
     statement = stripped_text[comment_end + 2 :].removeprefix(b" ")
     query_id = fields.get(b"id", b"")
     class_name = _parse_visible_ascii(fields, b"class")
-    wait_ms = _parse_number(fields, b"wait")
+    wait_ms = _parse_number(fields, b"wait", MAX_WAIT_MS)
     if not QUERY_ID.fullmatch(query_id):
         raise ProtocolError("field id is missing or can't be used")
     if class_name is None or wait_ms is None:
--- a/tests/test_query_fields.py
+++ b/tests/test_query_fields.py
@@ -40,10 +40,22 @@
     assert (query.table_group, query.is_write) == (2, True)
 
 
+@pytest.mark.parametrize("number", [0.1 + 0.2, 1 / 3, 5e-05, 1e-300, 123456789 / 7])
+def test_estimates_are_read_as_programs_print_them(number: float) -> None:
+    """Guards against a refusal, as no number, of an estimate with more than 12 decimals or an exponent."""
+    fields = FIELDS.replace(b"mb=96", b"mb=%s" % repr(number).encode())
+    assert parse_query(b"/* " + fields + b" */ SELECT 1").estimated_memory_mb == number
+
+
 @pytest.mark.parametrize(
     "text",
     [
         b"",
+        b"/* " + FIELDS.replace(b"wait=1500", b"wait=1e999") + b" */ SELECT 1",
+        b"/* " + FIELDS.replace(b"wait=1500", b"wait=2e12") + b" */ SELECT 1",
+        b"/* " + FIELDS.replace(b"mb=96", b"mb=9e999") + b" */ SELECT 1",
+        b"/* " + FIELDS.replace(b"mb=96", b"mb=1e") + b" */ SELECT 1",
+        b"/* " + FIELDS.replace(b"mb=96", b"mb=1." + b"0" * 60000) + b" */ SELECT 1",
         b"SELECT 1",
         b"/* " + FIELDS,
         b"/* */ SELECT 1",
