Silence: on sockets an engine's confirmation counts where status messages are due

On a site whose engines send notes of progress, a front on sockets called each attempt off that took longer than two periods (1 s), however often the engine confirmed it, and again on the next engine. Cause: on sockets engines answer 202 while a query runs and send no notes; the answer set only when the query was last confirmed. With status messages due, an engine is silent two periods after its last one, and none ever came. Change: a confirmation is such a sign where messages are due. Without them nothing changes: an engine that confirms and does not end a run of known duration still counts as too slow. Measured: the test saw the attempt cancelled after 1 s of confirmations each 250 ms; now it runs on, and is cancelled when they stop.

--- a/micahold/controller.py
+++ b/micahold/controller.py
@@ -987,6 +987,8 @@
         elapsed_s = self.now - query.sent_at
         if event.kind is api.AttemptStatusKind.ALIVE:
             query.confirmed_at = self.now
+            if self.settings.status_period_s:
+                engine.last_response_at = self.now  # where engines confirm, it takes the place of a message
             return
         engine.last_response_at = self.now
         remaining_s = elapsed_s / max(event.value, 1e-3) - elapsed_s
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -146,6 +146,22 @@
     assert (api.Cancel(query, 0) in actions) is learned
 
 
+def test_confirmations_count_as_signs_of_an_engine_that_is_to_send_status_messages() -> None:
+    """Guards against attempts called off again and again on sockets, where engines send no notes."""
+    gateway = GatewayHarness(number=2, status_period_s=0.5)
+    for _ in range(20):
+        gateway.end_attempt(gateway.submit_query(REPORT, estimated_cost_s=4.0)[0], api.Outcome.OK, after=2.0)
+    query, actions = gateway.submit_query(REPORT, estimated_cost_s=4.0)
+    engine = gateway.engine_of[query]
+    confirmation = api.AttemptStatus(query, 0, engine, api.AttemptStatusKind.ALIVE)
+    for _ in range(8):
+        actions += gateway.handle_events(confirmation)
+        actions += gateway.fire_timer(after=0.25)
+    assert api.Cancel(query, 0) not in actions
+    actions += gateway.fire_timer(after=0.25, times=6)
+    assert api.Cancel(query, 0) in actions
+
+
 def test_a_query_that_cannot_end_before_its_deadline_is_refused_at_once() -> None:
     """Guards against queries of many times the usual cost that use engines until their deadline, in vain."""
     gateway = GatewayHarness()
