Soak: every row names its query and place, and what is served must have been done

Change: engines make results of 0 to 900 rows in several pages; each row names its query, its place and their number. The client keeps the rows, and the shared checker compares them one by one and asks the engines' records for an attempt that ended well.

--- a/micahold/laboratory/emulated_engine.py
+++ b/micahold/laboratory/emulated_engine.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 
 from micahold.laboratory.loopback_listener import LoopbackListener
+from micahold.laboratory.result_rows import asked_rows, expected_rows, result_pages
 from micahold.laboratory.tcp_state import peer_has_closed
 
 LEASE_S = 2.0
@@ -24,8 +25,8 @@
 LIMIT_TOLERANCE_S = 0.05
 DEFAULT_WORK_S = 0.02
 CHECK_INTERVAL_S = 0.01
-RESULT_PAGES = (b"a\t1\tx\nb\t2\ty\n", b"c\t3\t\n")
-RESULT_ROWS = [(b"a", b"1", b"x"), (b"b", b"2", b"y"), (b"c", b"3", b"")]
+# The result of a statement that names no number of rows.
+RESULT_PAGES = [b"a\t1\tx\nb\t2\ty\n", b"c\t3\t\n"]
 # The statement names its duration, as in SELECT work_1500 FROM ...
 WORK_PATTERN = re.compile(rb"work_(\d+)")
 LINGER_RESET = struct.pack("ii", 1, 0)
@@ -63,6 +64,7 @@
     record: AttemptRecord
     ends_at: float
     lease_from: float
+    pages: list[bytes]
     over: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -192,7 +194,9 @@
             return
         work = WORK_PATTERN.search(request.body)
         work_s = int(work[1]) / 1000 if work else DEFAULT_WORK_S
-        query = _RunningQuery(record, now + work_s, now)
+        rows = asked_rows(request.body)
+        pages = RESULT_PAGES if rows is None else result_pages(expected_rows(query_id, rows))
+        query = _RunningQuery(record, now + work_s, now, pages)
         self._queries[query_id] = query
         self._start_task(self._watch(query_id, query))
         await self._handle_poll(query_id, 0, writer)
@@ -250,10 +254,10 @@
             if self.faults.duplicate_poll_after_s:
                 self._start_task(self._duplicate(writer))
         elif page:
-            self._respond(writer, "200 OK", f"X-Sheet: {page}\r\n", RESULT_PAGES[page])
+            self._respond(writer, "200 OK", f"X-Sheet: {page}\r\n", query.pages[page])
         else:
             self._end(query, "ok")
-            self._respond(writer, "200 OK", f"X-Sheets: {len(RESULT_PAGES)}\r\n", RESULT_PAGES[0])
+            self._respond(writer, "200 OK", f"X-Sheets: {len(query.pages)}\r\n", query.pages[0])
 
     async def _duplicate(self, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.faults.duplicate_poll_after_s)
--- a/micahold/laboratory/record_checker.py
+++ b/micahold/laboratory/record_checker.py
@@ -12,6 +12,7 @@
 from math import inf
 
 from micahold.laboratory.emulated_engine import AttemptRecord
+from micahold.laboratory.result_rows import expected_rows
 from micahold.laboratory.sql_client import QueryRecord
 
 # The protocol's slack on sockets: every time limit may run this much longer.
@@ -77,6 +78,7 @@
     for query in records.queries:
         attempts = sorted(attempts_by_query.pop(query.query_id, ()), key=lambda attempt: attempt.began_at)
         violations += check_answer(query, records)
+        violations += check_served(query, attempts)
         violations += check_overlap(query.query_id, attempts)
         violations += check_repeats(query, attempts, records.limits)
         violations += check_left_clients(query, attempts)
@@ -108,6 +110,28 @@
         yield Violation("lost", query.query_id, f"answer {late_s:.3f} s late")
 
 
+def check_served(query: QueryRecord, attempts: list[AttemptRecord]) -> Iterable[Violation]:
+    """What was answered as served was done by an engine, and its rows are those that the engine made."""
+    if query.answer != "served":
+        return
+    if not any(attempt.ending == "ok" for attempt in attempts):
+        yield Violation("lost", query.query_id, "served, and no engine did it")
+    if query.asked_rows is None:
+        return
+    expected = expected_rows(query.query_id, query.asked_rows)
+    if query.rows != expected:
+        place = next(
+            (
+                place
+                for place, (row, right) in enumerate(zip(query.rows, expected, strict=False))
+                if row != right
+            ),
+            min(len(query.rows), len(expected)),
+        )
+        text = f"{len(query.rows)} rows where {len(expected)} were made, wrong from place {place} on"
+        yield Violation("lost", query.query_id, text)
+
+
 def check_overlap(query_id: str, attempts: list[AttemptRecord]) -> Iterable[Violation]:
     """No attempt begins before the one before it is over at its engine."""
     for earlier, later in pairwise(attempts):
--- a/micahold/laboratory/soak.py
+++ b/micahold/laboratory/soak.py
@@ -36,6 +36,7 @@
 LATE_CONNECT_S = 0.08
 REST_RANGE_S = (4.0, 5.5)
 EFFECTS = {"lookup": "retryable", "load": "dedup", "job": "fragile"}
+RESULT_SIZES_ROWS = (0, 3, 40, 300, 900)  # of one page to several
 RETRY_WINDOW_S, RETRY_FLOOR, RETRY_RATIO = 5.0, 20.0, 0.5
 
 
@@ -173,7 +174,10 @@
         wait_s = self.plan.deadlines_s[class_name] * random.uniform(0.5, 1.0)
         work_s = wait_s * random.choice((0.02, 0.02, 0.1, 0.4, 0.8, 2.0))
         query_id = self.site.ids.next()
-        statement = b"SELECT work_%d FROM s_%d.t" % (round(work_s * 1000), random.randrange(20))
+        rows = random.choice(RESULT_SIZES_ROWS)
+        statement = b"SELECT work_%d, rows_%d FROM s_%d.t" % (
+            round(work_s * 1000), rows, random.randrange(20)
+        )  # fmt: skip
         query = asyncio.create_task(
             session.query(query_id, class_name, statement, wait_s, token=query_id * 2)
         )
--- a/micahold/laboratory/sql_client.py
+++ b/micahold/laboratory/sql_client.py
@@ -5,9 +5,10 @@
 import asyncio
 import itertools
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
+from micahold.laboratory.result_rows import ResultRow, asked_rows, decode_row
 from micahold.protocol.mysql_packets import HEADER_BYTES, encode_packet
 
 # CLIENT_LONG_PASSWORD, CLIENT_CONNECT_WITH_DB, CLIENT_PROTOCOL_41, CLIENT_TRANSACTIONS and
@@ -37,6 +38,8 @@
     left_at: float | None = None  # when the client closed or cancelled
     connection_lost_at: float | None = None
     is_first: bool = False  # on its connection
+    asked_rows: int | None = None  # how many rows its statement asks for; None where it names none
+    rows: list[ResultRow] = field(default_factory=list)  # that came, if it names a number
 
 
 class SessionLostError(Exception):
@@ -118,6 +121,7 @@
             fields += f",once={token}"
         now = time.monotonic()
         record = QueryRecord(query_id, class_name, self.front, now, wait_s, is_first=not self.query_count)
+        record.asked_rows = asked_rows(statement)
         self.query_count += 1
         self.send(f"/* {fields} */ ".encode() + statement)
         try:
@@ -140,7 +144,10 @@
             eof_count = 0
             while eof_count < 2:
                 payload = await self._read_packet()
-                eof_count += payload[:1] == bytes((EOF_HEADER,)) and len(payload) <= MAX_EOF_PAYLOAD_BYTES
+                is_eof = payload[:1] == bytes((EOF_HEADER,)) and len(payload) <= MAX_EOF_PAYLOAD_BYTES
+                eof_count += is_eof
+                if eof_count == 1 and not is_eof and record.asked_rows is not None:
+                    record.rows.append(decode_row(payload))
             record.answer = "served"
         record.answered_at = time.monotonic()
 
