--- a/micahold/commands/trial.py
+++ b/micahold/commands/trial.py
@@ -59,7 +59,7 @@
 @click.option("--seconds", default=15.0, show_default=True, help="Length of each run under load.")
 @click.option("--processes", default=4, show_default=True, help="Parallel runs.")
 @click.option("--folder", default="soak", show_default=True, type=click.Path(file_okay=False))
-@click.option("--plant", default="", help="Plant a fault in the fronts: lease, clock or calls.")
+@click.option("--plant", default="", help="Plant a fault in the fronts, by its name.")
 @click.option("--replay", type=click.Path(exists=True, dir_okay=False), help="Play the plan in this file.")
 def soak(
     seeds: int, first: int, seconds: float, processes: int, folder: str, plant: str, replay: str | None
--- a/micahold/laboratory/emulated_engine.py
+++ b/micahold/laboratory/emulated_engine.py
@@ -29,6 +29,9 @@
 RESULT_PAGES = [b"a\t1\tx\nb\t2\ty\n", b"c\t3\t\n"]
 # The statement names its duration, as in SELECT work_1500 FROM ...
 WORK_PATTERN = re.compile(rb"work_(\d+)")
+# A row that is none: its columns are missing.
+NOISE = b"\x00\xff noise\n"
+LATE_COPY_S = (0.002, 0.005, 0.01)
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -57,6 +60,10 @@
     unreadable_deletes: bool = False  # a DELETE is not carried out, and its response is noise
     ignore_deletes: bool = False  # a DELETE is answered with 202 and not carried out
     drop_delete_responses: bool = False
+    # Of every second good answer:
+    second_copies: bool = False  # the same bytes once more, at once or some milliseconds late, in turn
+    spoilt_pages: bool = False  # noise stands behind its rows
+    short_lengths: bool = False  # its stated length ends after some of its rows
 
 
 @dataclass(slots=True, eq=False)
@@ -90,6 +97,17 @@
     return _Request(method, path, headers, body, time.monotonic())
 
 
+def _response(status: str, headers: str, body: bytes, stated_bytes: int | None = None) -> bytes:
+    """A response whose Content-Length is that of its body, or ``stated_bytes``."""
+    length = len(body) if stated_bytes is None else stated_bytes
+    return f"HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n".encode() + body
+
+
+def _whole_rows_bytes(page: bytes) -> int:
+    """The length of about the first half of a page, up to the end of a row."""
+    return page.rfind(b"\n", 0, len(page) // 2) + 1
+
+
 class EmulatedEngine(LoopbackListener):
     """One engine process; ``attempts`` holds the records of everything it was sent."""
 
@@ -100,6 +118,7 @@
         self.faults = EngineFaults()
         self.attempts: list[AttemptRecord] = []
         self.post_connections = 0
+        self._page_count = 0  # good answers so far
         self._queries: dict[str, _RunningQuery] = {}
         self._connections: dict[asyncio.StreamWriter, str] = {}  # and the query that each last carried
         self._tasks: set[asyncio.Future[None]] = set()
@@ -254,20 +273,40 @@
             if self.faults.duplicate_poll_after_s:
                 self._start_task(self._duplicate(writer))
         elif page:
-            self._respond(writer, "200 OK", f"X-Sheet: {page}\r\n", query.pages[page])
+            self._respond_page(writer, f"X-Sheet: {page}\r\n", query.pages[page])
         else:
             self._end(query, "ok")
-            self._respond(writer, "200 OK", f"X-Sheets: {len(query.pages)}\r\n", query.pages[0])
+            self._respond_page(writer, f"X-Sheets: {len(query.pages)}\r\n", query.pages[0])
 
     async def _duplicate(self, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.faults.duplicate_poll_after_s)
         self._respond(writer, "202 Accepted")
 
+    def _respond_page(self, writer: asyncio.StreamWriter, headers: str, page: bytes) -> None:
+        """Sends a good answer, with the faults of every second one."""
+        self._page_count += 1
+        if self._page_count % 2:
+            self._write(writer, _response("200 OK", headers, page))
+            return
+        body = page + NOISE if self.faults.spoilt_pages else page
+        stated_bytes = _whole_rows_bytes(body) if self.faults.short_lengths else len(body)
+        response = _response("200 OK", headers, body, stated_bytes)
+        self._write(writer, response)
+        if not self.faults.second_copies:
+            return
+        if self._page_count % 4:
+            self._write(writer, response)
+        else:
+            self._start_task(self._write_late(writer, response))
+
+    async def _write_late(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        await asyncio.sleep(LATE_COPY_S[self._page_count // 4 % len(LATE_COPY_S)])
+        self._write(writer, data)
+
     def _respond(
         self, writer: asyncio.StreamWriter, status: str, headers: str = "", body: bytes = b""
     ) -> None:
-        head = f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
-        self._write(writer, head.encode() + body)
+        self._write(writer, _response(status, headers, body))
 
     def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         if not self.faults.drop_responses and not writer.is_closing():
--- a/micahold/laboratory/record_checker.py
+++ b/micahold/laboratory/record_checker.py
@@ -58,7 +58,8 @@
 
     ``unavailable`` holds, by engine, the spans from the list's event "draining" or "gone" to the next
     "ready". ``kills`` are the times at which each front was killed without notice: what was open then is not
-    owed. ``cuts`` are the spans, by engine, in which the network held what was sent to it.
+    owed. ``cuts`` are the spans, by engine, in which the network held what was sent to it, and ``stops``
+    those, by front, in which its process was stopped.
     """
 
     queries: list[QueryRecord]
@@ -67,6 +68,7 @@
     unavailable: Mapping[str, list[tuple[float, float]]] = field(default_factory=dict)
     kills: Mapping[str, list[float]] = field(default_factory=dict)
     cuts: Mapping[str, list[tuple[float, float]]] = field(default_factory=dict)
+    stops: Mapping[str, list[tuple[float, float]]] = field(default_factory=dict)
 
 
 def check_records(records: RunRecords) -> list[Violation]:
@@ -95,6 +97,9 @@
     if query.left_at is not None:
         return
     limit = query.sent_at + query.wait_s + LATE_ANSWER_S
+    for stopped_at, resumed_at in records.stops.get(query.front, ()):
+        if stopped_at < limit < resumed_at + LATE_ANSWER_S:
+            limit = resumed_at + LATE_ANSWER_S
     owed_until = min(limit, query.answered_at if query.answered_at is not None else inf)
     if any(query.sent_at <= killed_at <= owed_until for killed_at in records.kills.get(query.front, ())):
         return
--- a/micahold/laboratory/soak.py
+++ b/micahold/laboratory/soak.py
@@ -36,6 +36,18 @@
 LATE_CONNECT_S = 0.08
 REST_RANGE_S = (4.0, 5.5)
 EFFECTS = {"lookup": "retryable", "load": "dedup", "job": "fragile"}
+# Statements that are cut off in a string, a name, a comment or a list.
+LONG_TEXT_PARTS = (
+    (b"INSERT INTO s_1.t VALUES ('", b"\\'"),
+    (b"INSERT INTO s_1.t VALUES ('", b"''"),
+    (b"SELECT 1 FROM ", b"a."),
+    (b"SELECT 1 FROM ", b"a,"),
+    (b"SELECT 1 FROM ", b"("),
+    (b"SELECT /*", b"* /"),
+    (b"SELECT 1 FROM `", b"``"),
+)
+LONG_TEXTS = 20
+MAX_TEXT_BYTES = 60_000
 RESULT_SIZES_ROWS = (0, 3, 40, 300, 900)  # of one page to several
 RETRY_WINDOW_S, RETRY_FLOOR, RETRY_RATIO = 5.0, 20.0, 0.5
 
@@ -100,6 +112,7 @@
         self.busy_engines: set[int] = set()  # that are draining, gone or starting
         self.violations: list[Violation] = []
         self.cuts: dict[str, list[tuple[float, float]]] = {}
+        self.stops: dict[str, list[tuple[float, float]]] = {}
         self.max_lag_s = 0.0
         self.ends_at = 0.0
         self._kill_after_s = KILL_AFTER_DEADLINE_S + min(
@@ -128,7 +141,7 @@
             process.name: state.kills for process, state in zip(self.site.fronts, self.fronts, strict=True)
         }
         records = RunRecords(
-            self.site.queries, attempts, self.site.limits, self.site.unavailable, kills, self.cuts
+            self.site.queries, attempts, self.site.limits, self.site.unavailable, kills, self.cuts, self.stops
         )
         answers = Counter(query.answer or "none" for query in self.site.queries)
         violations = self.violations + check_records(records)
@@ -237,6 +250,8 @@
             "clock": self._step_clock,
             "call": self._fail_call,
             "channel_silent": self._silence_channel,
+            "stop": self._stop,
+            "texts": self._send_long_texts,
         }
         await handlers.get(fault.kind, self._set_engine_fault)(fault)
 
@@ -351,6 +366,37 @@
         self.site.faults[fault.target].fail(fault.detail, int(fault.value), seconds=fault.span_s)
         await asyncio.sleep(fault.span_s)
 
+    async def _stop(self, fault: Fault) -> None:
+        """The front's process stands still, and then finds all that has come meanwhile."""
+        if fault.target in self.busy_fronts:
+            return
+        self.busy_fronts.add(fault.target)
+        process = self.site.fronts[fault.target]
+        stopped_at = time.monotonic()
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.span_s)
+        process.send_signal(signal.SIGCONT)
+        self.stops.setdefault(process.name, []).append((stopped_at, time.monotonic()))
+        self.busy_fronts.discard(fault.target)
+
+    async def _send_long_texts(self, fault: Fault) -> None:
+        """Clients send statements of up to 60,000 bytes, cut off anywhere, one after another."""
+        random = Random(f"{self.plan.seed} {fault.at_s}")
+        process, state = self.site.fronts[fault.target], self.fronts[fault.target]
+        for _ in range(LONG_TEXTS):
+            if not state.accepts_connections:
+                return
+            start, fragment = random.choice(LONG_TEXT_PARTS)
+            text = (start + fragment * MAX_TEXT_BYTES)[: random.randrange(len(start), MAX_TEXT_BYTES)]
+            session = SqlSession(process.name, process.port)
+            with contextlib.suppress(SessionLostError, TimeoutError):
+                await asyncio.wait_for(session.connect(), 2.0)
+                class_name = min(self.plan.deadlines_s)
+                query_id = self.site.ids.next()
+                record = await session.query(query_id, class_name, text, self.plan.deadlines_s[class_name])
+                self.site.queries.append(record)
+                session.close()
+
     async def _silence_channel(self, fault: Fault) -> None:
         self.site.channel.silent = True
         await asyncio.sleep(fault.span_s)
--- a/micahold/laboratory/soak_plan.py
+++ b/micahold/laboratory/soak_plan.py
@@ -16,9 +16,9 @@
 QUIET_END_S = 3.0
 ENGINE_FAULTS = (
     "drop_responses", "stop_reading", "fail_queries", "full", "duplicates", "ignore_deletes", "drain",
-    "crash", "reset", "cut", "late", "split",
+    "crash", "reset", "cut", "late", "split", "second_copies", "spoilt_pages", "short_lengths",
 )  # fmt: skip
-FRONT_FAULTS = ("term", "kill", "reload", "counters", "clock", "call", "channel_silent")
+FRONT_FAULTS = ("term", "kill", "reload", "counters", "clock", "call", "channel_silent", "stop", "texts")
 FAILING_CALLS = {
     "accept": (errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EPROTO, errno.EINTR),
     "socket": (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
@@ -29,6 +29,7 @@
     "write": (errno.ENOSPC, errno.EIO, errno.EINTR, SHORT),
 }
 BLINDING_CALLS = ("accept", "recv", "send", "epoll_wait")
+STOPS_S = (0.3, 0.6, 1.2, 2.0)
 CLOCK_STEPS_S = (-3600.0, -3.0, 3.0, 3600.0)
 
 
@@ -104,12 +105,18 @@
         fault.value = random.uniform(0.3, 2.5)
         return fault
     fault = Fault(at_s, random.choice(FRONT_FAULTS), random.randrange(plan.fronts), span_s)
-    complete: dict[str, Callable[[Fault, Random], None]] = {"clock": _draw_step, "call": _draw_call}
+    complete: dict[str, Callable[[Fault, Random], None]] = {
+        "clock": _draw_step, "call": _draw_call, "stop": _draw_stop
+    }  # fmt: skip
     if fault.kind in complete:
         complete[fault.kind](fault, random)
     return fault
 
 
+def _draw_stop(fault: Fault, random: Random) -> None:
+    fault.span_s = random.choice(STOPS_S)
+
+
 def _draw_step(fault: Fault, random: Random) -> None:
     fault.value = random.choice(CLOCK_STEPS_S)
 
--- a/micahold/laboratory/sql_client.py
+++ b/micahold/laboratory/sql_client.py
@@ -19,8 +19,8 @@
 REFUSAL_CODES = (1040, 1203, 1226)
 OK_HEADER, EOF_HEADER, ERR_HEADER = 0x00, 0xFE, 0xFF
 MAX_EOF_PAYLOAD_BYTES = 5
-# A client waits this much past its own limit before it records that no answer came.
-LATE_ANSWER_S = 2.0
+# A client waits this much past its own limit before it records that no answer came: a front may be stopped.
+LATE_ANSWER_S = 3.0
 
 
 @dataclass(slots=True)
