A query's wait counts from its arrival, also while its text is parsed

Cause: the session took how long a query had waited, then parsed its text, and the exchange counted the deadline from its own later 'now'.

Change: a query is submitted with its arrival, a time and not a duration, and the deadline is arrival plus wait.

Evidence: the new test failed before (waited 0.0 where 0.125 s had passed).

--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -113,15 +113,15 @@
             self._flush_scheduled = True
             self._call_at_iteration_end(self._flush)
 
-    def submit(self, query: ClientQuery, reply: QueryReply, waited: float = 0.0) -> int:
+    def submit(self, query: ClientQuery, reply: QueryReply, arrived_at: float) -> int:
         """Registers a client's query and returns its number, which ``drop`` takes.
 
-        ``waited`` is how many seconds the query may have lain unread; they count towards its wait.
+        The query's wait counts from ``arrived_at``.
         Raises ``UnusableQueryError`` for a query that can't be accepted, before the controller or an engine
         receives anything of it.
         """
         now = self.now()
-        remaining = query.wait_s - waited
+        deadline = arrived_at + query.wait_s
         class_index = self.class_indices.get(query.class_name)
         tenant_index = self.tenant_indices.get(query.tenant or b"") if self.tenant_indices else 0
         if class_index is None:
@@ -134,13 +134,13 @@
             raise UnusableQueryError("field wait is out of range")
         if query.wait_s <= 0:
             raise UnusableQueryError("field wait is not above 0")
-        if remaining <= 0:
+        if now >= deadline:
             raise ExpiredQueryError("past its wait on arrival")
         if self.settings.classes[class_index].repeat_safety is api.RepeatSafety.KEYED and query.token is None:
             raise UnusableQueryError("field once is missing")
         self._last_number += 1
         number = self._last_number
-        open_query = OpenQuery(query, reply, now - waited, min(self._answer_by, now + remaining))
+        open_query = OpenQuery(query, reply, arrived_at, min(self._answer_by, deadline))
         self.open_queries[number] = open_query
         self._open_ids.add(query.id)
         self.unanswered_count += 1
@@ -148,7 +148,7 @@
         self.counters.record_max("queries_open", self.unanswered_count)
         # Should the controller miss the deadline, this timer still answers the client within the slack.
         slack = self.settings.rules.answer_slack_s
-        open_query.overdue_timer = self.timers.call_later(remaining + slack, self._fail_overdue, number)
+        open_query.overdue_timer = self.timers.call_later(deadline - now + slack, self._fail_overdue, number)
         self._queue_event(
             api.QueryArrived(
                 query=number,
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -101,11 +101,11 @@
 class QueryHandler(TypingProtocol):
     """Accepts queries and is responsible for their responses."""
 
-    def submit(self, query: ClientQuery, reply: QueryReply, waited: float) -> int:
+    def submit(self, query: ClientQuery, reply: QueryReply, arrived_at: float) -> int:
         """Accepts a query, which is owed a response from then on, and returns its number.
 
-        ``waited`` is the time in seconds that the query may have been waiting to be read; it counts towards
-        the wait of the query. Raises ``UnusableQueryError`` for a query that can't be accepted.
+        The wait of the query counts from ``arrived_at``, the earliest time at which its last byte can have
+        come. Raises ``UnusableQueryError`` for a query that can't be accepted.
         """
         ...
 
@@ -359,8 +359,8 @@
             self._send(error_payload(ER_CON_COUNT_ERROR, "Server shutdown in progress"))
             return
         try:
-            waited = float(self.sessions.clock.seconds()) - self._reader.packet_arrived_at
-            self.query_number = self.sessions.handler.submit(parse_query(text), self, waited)
+            arrived_at = self._reader.packet_arrived_at
+            self.query_number = self.sessions.handler.submit(parse_query(text), self, arrived_at)
         except ProtocolError as error:
             self._reject_query(ER_PARSE_ERROR, str(error))
         except ExpiredQueryError as error:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,7 +12,8 @@
 from micahold.counters import Counters
 from micahold.protocol.mysql_packets import encode_packet
 from micahold.protocol.mysql_results import ResultSetEncoder
-from micahold.protocol.query_fields import ClientQuery
+from micahold.protocol.query_fields import ClientQuery, parse_query
+from micahold.transport import clients
 from micahold.transport.clients import (
     CLOSE_TIMEOUT_S,
     IDLE_TIMEOUT_S,
@@ -43,19 +44,20 @@
 class RecordingHandler:
     """Accepts and records every query, or raises ``error`` if it is set."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         self.queries: list[ClientQuery] = []
         self.replies: list[QueryReply] = []
         self.dropped: list[int] = []
-        self.waited: list[float] = []
+        self.waited: list[float] = []  # from each query's arrival until it was submitted, in seconds
+        self.clock = clock
         self.unread_s = 0.0
         self.error: Exception | None = None
 
-    def submit(self, query: ClientQuery, reply: QueryReply, waited: float) -> int:
+    def submit(self, query: ClientQuery, reply: QueryReply, arrived_at: float) -> int:
         if self.error is not None:
             raise self.error
         self.queries.append(query)
-        self.waited.append(waited)
+        self.waited.append(self.clock.seconds() - arrived_at)
         self.replies.append(reply)
         return len(self.queries)
 
@@ -67,7 +69,8 @@
     """The session factory with a simulated clock; connects clients over in-memory transports."""
 
     def __init__(self, max_sessions: int = 10, seed: int = 7, max_buffered_bytes: int = 2**20) -> None:
-        self.clock, self.handler, self.counters = Clock(), RecordingHandler(), Counters()
+        self.clock, self.counters = Clock(), Counters()
+        self.handler = RecordingHandler(self.clock)
         self.log_events: list[str] = []
         self.sessions = ClientSessions(
             self.clock,
@@ -516,3 +519,17 @@
     session.dataReceived(query_with_fields(11))
     assert not transport.disconnecting and len(harness.handler.queries) == 1
     assert "queries_unusable" not in harness.counters.values
+
+
+def test_time_that_parsing_takes_counts_towards_the_wait(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a long statement whose parsing lengthens the time that its client gave it."""
+    harness = SessionHarness()
+    session, _ = harness.connect_and_log_in()
+
+    def parse_slowly(text: bytes) -> ClientQuery:
+        harness.clock.advance(0.125)
+        return parse_query(text)
+
+    monkeypatch.setattr(clients, "parse_query", parse_slowly)
+    session.dataReceived(query_with_fields())
+    assert harness.handler.waited == [0.125]
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -95,7 +95,7 @@
     def submit(self, number: int = 1, **changes: str) -> tuple[int, RecordingReply]:
         """Submits a query; returns its number and its recorded answers."""
         reply = RecordingReply()
-        query_number = self.exchange.submit(make_query(number, **changes), reply)
+        query_number = self.exchange.submit(make_query(number, **changes), reply, self.clock.seconds())
         self.advance()
         return query_number, reply
 
@@ -133,7 +133,7 @@
 def test_events_of_one_reactor_iteration_form_one_batch() -> None:
     harness = ExchangeHarness()
     for number in range(3):
-        harness.exchange.submit(make_query(number), RecordingReply())
+        harness.exchange.submit(make_query(number), RecordingReply(), harness.clock.seconds())
     harness.advance()
     assert [len(batch) for batch in harness.controller.batches] == [1, 3]
 
@@ -144,7 +144,7 @@
 def test_unusable_query_reaches_neither_the_controller_nor_an_engine(changes: dict[str, str]) -> None:
     harness = ExchangeHarness()
     with pytest.raises(UnusableQueryError):
-        harness.exchange.submit(make_query(1, **changes), RecordingReply())
+        harness.exchange.submit(make_query(1, **changes), RecordingReply(), harness.clock.seconds())
     harness.advance()
     assert len(harness.controller.batches) == 1
     assert harness.exchange.unanswered_count == 0
@@ -154,9 +154,9 @@
     harness = ExchangeHarness()
     query_number, _ = harness.submit()
     with pytest.raises(UnusableQueryError):
-        harness.exchange.submit(make_query(), RecordingReply())
+        harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
     harness.execute(api.Fail(query_number))
-    harness.exchange.submit(make_query(), RecordingReply())
+    harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
 
 
 def test_result_goes_to_the_client_and_settles_the_query() -> None:
@@ -294,13 +294,13 @@
 
 def test_time_unread_counts_towards_the_wait() -> None:
     harness = ExchangeHarness()
-    harness.exchange.submit(make_query(), RecordingReply(), waited=0.25)
+    harness.exchange.submit(make_query(), RecordingReply(), arrived_at=-0.25)
     harness.advance()
     event = harness.last_event()
     assert isinstance(event, api.QueryArrived)
     assert event.deadline == 1.75
     with pytest.raises(UnusableQueryError):
-        harness.exchange.submit(make_query(2), RecordingReply(), waited=2.0)
+        harness.exchange.submit(make_query(2), RecordingReply(), arrived_at=harness.clock.seconds() - 2.0)
 
 
 def test_deadline_of_a_query_read_at_once_is_the_whole_of_its_wait() -> None:
@@ -390,8 +390,8 @@
     harness = ExchangeHarness()
     for wait in ("10001", "999999999999"):  # the class's deadline is 5 s
         with pytest.raises(UnusableQueryError):
-            harness.exchange.submit(make_query(1, wait=wait), RecordingReply())
-    harness.exchange.submit(make_query(1, wait="10000"), RecordingReply())
+            harness.exchange.submit(make_query(1, wait=wait), RecordingReply(), harness.clock.seconds())
+    harness.exchange.submit(make_query(1, wait="10000"), RecordingReply(), harness.clock.seconds())
 
 
 def test_query_id_stays_reserved_while_an_attempt_is_in_flight() -> None:
@@ -402,9 +402,9 @@
     connection = harness.connections[0].accept()
     harness.execute(api.Refuse(query_number))
     with pytest.raises(UnusableQueryError):
-        harness.exchange.submit(make_query(1), RecordingReply())
+        harness.exchange.submit(make_query(1), RecordingReply(), harness.clock.seconds())
     connection.send(http_response(500))
-    harness.exchange.submit(make_query(1), RecordingReply())
+    harness.exchange.submit(make_query(1), RecordingReply(), harness.clock.seconds())
 
 
 def test_no_state_remains_of_gone_engines_and_finished_queries() -> None:
