A POST that the network still holds is withdrawn once its client has left

Change: an attempt that is given up, or whose client has left where cancelling is not allowed, breaks the connection of a POST without a response after 30 ms; what was not delivered goes with it. An engine that answers the DELETE before keeps its connection as before. A POST that the system didn't take is no longer made anew for an attempt that was given up.

--- a/micahold/laboratory/loopback_site.py
+++ b/micahold/laboratory/loopback_site.py
@@ -79,6 +79,7 @@
         seed: int = 1,
         sockets: int = 1024,
         proxied: bool = False,
+        cancel: bool = True,
         environment: Mapping[str, str] = MappingProxyType({}),
         **setting_changes: Any,
     ) -> None:
@@ -103,6 +104,7 @@
         self._front_count = fronts
         self._sockets = sockets
         self._settings = site_settings(fronts, *classes, **setting_changes)
+        self._settings["bounds"]["cancel"] = cancel  # whether fronts may send DELETE
         self.fronts: list[FrontProcess] = []
         self.faults: list[SystemFaults] = []  # of each front's machine
 
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -186,7 +186,7 @@
         self._close_query(number, open_query, "dropped")
         self._queue_event(api.QueryDropped(number))
         for attempt in open_query.attempts:
-            attempt.abandon_unsent()  # whether cancelling is allowed or not: it has not begun
+            attempt.abandon_unread()  # whether cancelling is allowed or not: it has not begun
 
     def apply_list_update(self, list_event: EngineListEvent) -> None:
         """Applies an update of the engine list to the directory, the pools and the controller.
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -46,6 +46,9 @@
 MIN_POLL_INTERVAL_S = 0.05
 # From the response to a poll until the next one, which goes on the same connection.
 POLL_AFTER_RESPONSE_S = 1.1 * REUSE_DELAY_S
+# How long an engine has to respond to a POST that is no longer wanted. An attempt may begin up to 0.1 s after
+# its client has left; a DELETE that is answered first keeps the connection.
+POST_WITHDRAWAL_DELAY_S = 0.03
 MAX_PAGES = 64
 # Unreadable responses of one attempt, each of which is requested again; one more aborts the attempt.
 MAX_UNREADABLE_RESPONSES = 8
@@ -144,6 +147,8 @@
         self._delayed_request: Any = None
         self._expiry_timer: Any = None
         self._lease_timer: Any = None
+        self._withdrawal_timer: Any = None
+        self._may_start = True  # False once the attempt is given up or its client has left
 
     # Submitting, polling and paging
 
@@ -168,7 +173,9 @@
         self._post_call.response.addCallbacks(self._handle_status, self._handle_post_failure)
 
     def _prepare_post(self) -> bytes | None:
-        """The POST, or None if the engine is no longer to be sent queries or the attempt's time is over.
+        """The POST, or None if it is no longer to be sent.
+
+        The engine may no longer be sent queries, or the attempt's time is over, or it was given up.
 
         Called right before the first byte: the engine list may have changed, and the time that is left has
         grown shorter, while the call waited for a connection.
@@ -176,9 +183,8 @@
         request = self.request
         now = self.now()
         assert self._listing is not None
-        if now >= min(request.expires_at, request.start_by) or not self.directory.accepts_queries(
-            self._listing
-        ):
+        is_over = now >= min(request.expires_at, request.start_by)
+        if is_over or not self._may_start or not self.directory.accepts_queries(self._listing):
             return None
         left_ms = max(1, int((request.expires_at - now) * 1000))
         headers = [
@@ -376,10 +382,23 @@
             max(0.0, expires_at - self.now()), self.abort, Outcome.TIMEOUT
         )
 
-    def abandon_unsent(self) -> None:
-        """Ends the attempt if nothing of it was written yet; has no effect on one that was sent."""
+    def abandon_unread(self) -> None:
+        """Keeps the engine from starting the query, unless it has read the POST.
+
+        Ends the attempt if nothing of it was written yet; a POST that was written is withdrawn shortly.
+        """
+        self._may_start = False
         if self._post_call is not None and not self._post_call.written:
             self.abort(Outcome.NOT_STARTED)
+        else:
+            self._schedule_withdrawal()
+
+    def _schedule_withdrawal(self) -> None:
+        post_call = self._post_call
+        if post_call is not None and post_call.connection is not None and self._withdrawal_timer is None:
+            self._withdrawal_timer = self.timers.call_later(
+                POST_WITHDRAWAL_DELAY_S, post_call.break_connection
+            )
 
     def abort(self, outcome: Outcome) -> None:
         """Cancels the query on the engine with DELETE and ends the attempt with ``outcome``.
@@ -401,10 +420,12 @@
             )
             return
         self._abort_outcome = outcome
+        self._may_start = False
         self.log("attempt_aborting", outcome=outcome.value, last_call_s=round(now - self._last_request_at, 4))
         if self._current_call is not None and self._current_call is not post_call:
             self._current_call.abandon()
         self._cancel_timer(self._delayed_request)
+        self._schedule_withdrawal()
         self._send_delete(False)
         self._lease_timer = self.timers.call_later(
             max(0.0, self._lease.lapses_at - now), self._handle_lease_lapsed
@@ -476,7 +497,8 @@
             self._listing = None
         if self._post_call is not None:
             self._post_call.abandon()
-        self._current_call = self._post_call = None
+        self._cancel_timer(self._withdrawal_timer)
+        self._current_call = self._post_call = self._withdrawal_timer = None
         self._delayed_request = self._lease_timer = self._expiry_timer = None
 
     def _cancel_timer(self, timer: Any) -> None:
--- a/micahold/transport/calls.py
+++ b/micahold/transport/calls.py
@@ -82,6 +82,15 @@
             self.prepare = None
             self.response.errback(Failure(reason))
 
+    def break_connection(self) -> None:
+        """Aborts the connection that carries the call, so that bytes not yet delivered are discarded.
+
+        The call fails; a call that is not on a connection is left as it is.
+        """
+        if self.connection is not None:
+            self.connection.abort_call()
+            self.fail(ConnectionBrokenError("given up"))
+
     def abandon(self, abort_connection: bool = False) -> None:
         """Ends the call without firing ``response``.
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -12,6 +12,7 @@
     MAX_PAGES,
     MAX_UNREADABLE_RESPONSES,
     MIN_POLL_INTERVAL_S,
+    POST_WITHDRAWAL_DELAY_S,
     AttemptResult,
     EndEvidence,
 )
@@ -446,6 +447,60 @@
     ]
 
 
+def test_post_without_a_response_is_withdrawn_shortly_after_its_attempt_is_aborted() -> None:
+    """Guards against a POST that the network holds and that begins after its client has left."""
+    network = EngineHarness()
+    attempt, results = network.start_attempt()
+    connection = first_connection(network)
+    attempt.abort(Outcome.CANCELLED)
+    network.advance(POST_WITHDRAWAL_DELAY_S / 2)
+    assert not connection.transport.aborted  # an engine that responds keeps the connection
+    network.advance(POST_WITHDRAWAL_DELAY_S / 2)
+    assert connection.transport.aborted
+    network.connections[1].accept().send(http_response(204))
+    assert not results  # it may have been read before: one more DELETE follows
+    acknowledge_second_delete(network)
+    assert [(result.outcome, result.evidence) for result in results] == [
+        (Outcome.CANCELLED, EndEvidence.DELETED)
+    ]
+
+
+def test_connection_of_a_post_that_was_answered_outlasts_the_end_of_its_attempt() -> None:
+    network = EngineHarness()
+    attempt, _ = network.start_attempt()
+    connection = first_connection(network)
+    connection.send(http_response(202))
+    attempt.abort(Outcome.CANCELLED)
+    network.advance(0.3)
+    assert not connection.transport.aborted
+
+
+def test_post_of_a_client_that_has_left_is_withdrawn_where_cancelling_is_not_allowed() -> None:
+    """Guards against a POST that begins for nobody; the engine is asked whether it had read it before."""
+    network = EngineHarness()
+    attempt, results = network.start_attempt()
+    connection = first_connection(network)
+    attempt.abandon_unread()
+    network.advance(POST_WITHDRAWAL_DELAY_S)
+    assert connection.transport.aborted and not results
+    network.advance()
+    assert network.connections[1].accept().transport.take_written() == get(0)
+    network.connections[1].send(http_response(200, PAGE, X_Sheets="1"))
+    assert [result.outcome for result in results] == [Outcome.OK]
+
+
+def test_post_that_the_system_did_not_take_is_not_made_anew_for_an_aborted_attempt() -> None:
+    """Guards against a POST that is sent after its attempt was given up."""
+    network = EngineHarness()
+    attempt, _ = network.start_attempt()
+    connection = first_connection(network)
+    attempt.abort(Outcome.CANCELLED)
+    connection.protocol.write_suspended()
+    network.advance(0.1)
+    written = [other.accept().transport.take_written() for other in network.connections[1:]]
+    assert not any(data.startswith(b"POST") for data in written)
+
+
 def test_one_acknowledged_delete_is_enough_once_the_post_was_answered() -> None:
     network = EngineHarness()
     attempt, results = network.start_attempt()
