A request that a stall delayed is made anew before it is sent

The front logged the attempt as sent at 3.006 s, its process was stopped from 3.008 to 4.210 s, the POST arrived at 4.222 s.

Cause: requests are made in an iteration and sent at its end. A stop in between is noticed only by the next poll, so what was made before is sent as it is: with an old deadline, and without the news of drains and of clients that left, which lie unread.

Change: before it sends, the reactor tells the protocols with unsent data of an iteration that is over 0.1 s late. An engine's connection has its request made anew by the way there is for requests that the system does not take, so by the next iterations, after all news are read. Once for each call: a front whose iterations are all late still sends.

Evidence: the new tests of test_loop_stalls.py (stalls of 0.3 and 2.0 s) and test_attempts.py failed before.

--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -138,6 +138,7 @@
         Registers a connection with epoll only where the socket did not take all of its data.
         """
         sent = bool(self._unsent_writers)
+        self._report_delayed_writes()
         while self._unsent_writers:
             writers, self._unsent_writers = list(self._unsent_writers), {}
             for writer in writers:
@@ -153,6 +154,18 @@
                     super().addWriter(writer)  # type: ignore[no-untyped-call]
         return sent
 
+    def _report_delayed_writes(self) -> None:
+        """Calls ``write_delayed`` of the protocols with unsent data if the process stood still meanwhile.
+
+        What they wrote may be out of date: it was decided on before the news of the stall are read.
+        """
+        if self.seconds() - self._polled_at <= STALL_S:
+            return
+        for writer in list(self._unsent_writers):
+            on_delayed = getattr(writer.protocol, "write_delayed", None)
+            if on_delayed is not None:
+                on_delayed()
+
     def doPoll(self, timeout: float | None) -> None:
         """Ends the previous iteration, polls for at most ``timeout`` seconds and handles the ready events."""
         self._note_stall(self._polled_at, self._polled_at)
--- a/micahold/transport/calls.py
+++ b/micahold/transport/calls.py
@@ -66,6 +66,7 @@
         self.response: Deferred[HttpResponse] = Deferred()
         self.written = self.ended = False
         self.new_connection = False
+        self.was_delayed = False  # made anew once, since the process stood still before it was sent
         self.connection: EngineConnection | None = None
 
     def succeed(self, response: HttpResponse) -> None:
--- a/micahold/transport/engine_connection.py
+++ b/micahold/transport/engine_connection.py
@@ -98,6 +98,16 @@
         call.written = False
         self.pools.requeue(call)
 
+    def write_delayed(self) -> None:
+        """Called when the process stood still before the request was sent: it is made anew on the news.
+
+        Once for each call, so that a front whose iterations are all late still sends.
+        """
+        call = self.current_call
+        if call is not None and not call.was_delayed:
+            call.was_delayed = True
+            self.write_suspended()
+
     def _handle_response_timeout(self, grace_elapsed: bool) -> None:
         """Fails the call and aborts the connection, after a grace period for data that has not been read yet.
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -80,6 +80,18 @@
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
+def test_post_that_a_stall_delayed_is_made_anew_once_with_what_is_left() -> None:
+    """Guards against a deadline from before a stall, and against a late front that never sends."""
+    network = EngineHarness()
+    network.start_attempt(wait=5.0)
+    network.connections[0].accept().protocol.write_delayed()
+    network.advance(0.5)
+    connection = network.connections[1].accept()
+    connection.protocol.write_delayed()
+    assert b"Via-Wait: 4500\r\n" in connection.transport.take_written()
+    assert not connection.transport.aborted
+
+
 def test_repeat_whose_connection_comes_up_after_the_deduplication_window_is_not_sent() -> None:
     network = EngineHarness()
     attempt = network.make_attempt(wait=30.0)
--- a/tests/test_loop_stalls.py
+++ b/tests/test_loop_stalls.py
@@ -165,3 +165,33 @@
     stalled.poll()
     stalled.poll()
     assert stalled.reactor.max_read_delay() <= POLL_TIMEOUT_S
+
+
+class Writer:
+    """A connection of the front with data to send, whose protocol records what it is told."""
+
+    def __init__(self, events: list[str]) -> None:
+        self.events = events
+        self.protocol = self
+
+    def fileno(self) -> int:
+        return -1
+
+    def write_delayed(self) -> None:
+        self.events.append("delayed")
+
+
+@pytest.mark.parametrize(("stall_s", "told"), [(0.05, []), (0.3, ["delayed"]), (2.0, ["delayed"])])
+def test_request_written_before_a_stall_is_not_sent_as_it_is(
+    stalled: StalledReactor, stall_s: float, told: list[str]
+) -> None:
+    """Guards against a deadline that is passed on too long, and an attempt for a client that left."""
+    reactor: Any = stalled.reactor
+
+    def write_and_stand_still() -> None:
+        reactor._unsent_writers[Writer(stalled.events)] = None
+        stalled.clock.now += stall_s
+
+    reactor.call_at_iteration_end(write_and_stand_still)
+    stalled.poll()
+    assert stalled.events == told
