--- a/micahold/laboratory/front_process.py
+++ b/micahold/laboratory/front_process.py
@@ -18,6 +18,10 @@
 POLL_INTERVAL_S = 0.02
 
 
+class FrontStartError(Exception):
+    """A front has ended at its start, or does not accept connections in time."""
+
+
 class FrontProcess:
     """One front, which can be started more than once; ``log_path`` collects the log of all its lives."""
 
@@ -45,9 +49,14 @@
             )
 
     async def wait_until_serving(self) -> None:
-        """Waits for the front to accept connections; raises ``TimeoutError`` after ``START_TIMEOUT_S``."""
+        """Waits for the front to accept connections; raises ``FrontStartError`` after ``START_TIMEOUT_S``."""
+        assert self.process is not None
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
+            if (status := self.process.poll()) is not None:
+                raise FrontStartError(
+                    f"ended at its start with {status}: {self.error_path.read_text()[-500:]}"
+                )
             try:
                 _, writer = await asyncio.open_connection("127.0.0.1", self.port)
             except OSError:
@@ -55,7 +64,7 @@
             else:
                 writer.close()
                 return
-        raise TimeoutError(f"{self.name} does not accept connections")
+        raise FrontStartError(f"does not accept connections after {START_TIMEOUT_S:.0f} s")
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
--- a/micahold/laboratory/soak.py
+++ b/micahold/laboratory/soak.py
@@ -17,7 +17,7 @@
 from random import Random
 
 from micahold.laboratory.emulated_engine import EmulatedEngine
-from micahold.laboratory.front_process import FrontProcess
+from micahold.laboratory.front_process import FrontProcess, FrontStartError
 from micahold.laboratory.loopback_site import LoopbackSite, class_settings
 from micahold.laboratory.planted_faults import PLANT_VARIABLE
 from micahold.laboratory.record_checker import RunRecords, Violation, check_records
@@ -349,8 +349,12 @@
     async def _restart(self, process: FrontProcess, state: _FrontState) -> None:
         process.configuration["known"] = self.site.known_list()
         process.start()
-        await process.wait_until_serving()
-        state.accepts_connections = True
+        try:
+            await process.wait_until_serving()
+        except FrontStartError as error:
+            self._report_crash(process, str(error))
+        else:
+            state.accepts_connections = True
 
     async def _send_signals(self, fault: Fault) -> None:
         number = signal.SIGHUP if fault.kind == "reload" else signal.SIGUSR1
--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from enum import Enum
+from functools import partial
 from typing import Any, Protocol
 
 from twisted.internet import error as twisted_error
@@ -15,6 +16,7 @@
 from micahold.program.configuration import Configuration
 from micahold.program.engine_start_times import EngineStartTimes
 from micahold.program.log import Log
+from micahold.program.sockets import listen_despite_shortage
 from micahold.protocol.engine_list import EngineListEvent, parse_list_event
 from micahold.protocol.errors import ProtocolError
 from micahold.routing.exchange import Exchange
@@ -146,13 +148,15 @@
     def start(self) -> None:
         """Applies the initial engine list, then starts the listener and the command channel.
 
-        Raises ``CannotListenError`` if the address is in use.
+        Raises ``CannotListenError`` if the address is in use, or for a lasting shortage of the machine.
         """
         self.log.defer_flushes(lambda: self.clock.callLater(POLL_INTERVAL_S, self._flush_log))
         for list_event in self.configuration.initial_list_events:
             self._apply_engine_list(list_event, is_news=False)
         host, port = self.configuration.listen
-        self._port = self.clock.listenTCP(port, self.sessions, backlog=LISTEN_BACKLOG, interface=host)
+        self._port = listen_despite_shortage(
+            partial(self.clock.listenTCP, port, self.sessions, backlog=LISTEN_BACKLOG, interface=host)
+        )
         self.channel.start()
         if self.subsystems is not None:
             self.subsystems.start()
--- a/tests/test_failing_system_calls.py
+++ b/tests/test_failing_system_calls.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import errno
+from functools import partial
 from pathlib import Path
 
 import pytest
+from twisted.internet.error import CannotListenError
 
 from micahold.laboratory.loopback_site import LoopbackSite
 from micahold.laboratory.system_faults import SHORT
+from micahold.program.sockets import MAX_LISTEN_WAIT_S, listen_despite_shortage
 from tests.failing_calls import ACCEPT_ERRORS, TRANSFER_ERRORS, run_for_each, use_while_failing
 
 
@@ -50,3 +53,31 @@
             assert (await site.query("load", work_s=0.3, wait_s=4.0)).answer == "served"
 
     run_for_each(tmp_path, errors, scenario)
+
+
+def test_front_that_starts_while_the_machine_lacks_sockets_serves_afterwards(tmp_path: Path) -> None:
+    """Guards against a front that ends at its start because socket(2) fails for a moment."""
+
+    async def scenario(site: LoopbackSite, error: int) -> None:
+        site.fronts[0].kill()
+        site.faults[0].fail("socket", error, seconds=1.0)
+        await site.start_fronts()
+        assert (await site.query("lookup", work_s=0.1, wait_s=4.0)).answer == "served"
+
+    run_for_each(tmp_path, (errno.ENOBUFS, errno.ENFILE), scenario)
+
+
+def test_start_waits_for_a_listener_for_a_bounded_time_and_never_for_an_address_in_use() -> None:
+    times = [0.0]
+
+    def fail_to_listen(error_number: int) -> None:
+        raise CannotListenError("127.0.0.1", 1, OSError(error_number, "fails"))
+
+    def sleep(seconds: float) -> None:
+        times[0] += seconds
+
+    for error_number, waited_s in ((errno.ENOMEM, MAX_LISTEN_WAIT_S), (errno.EADDRINUSE, 0.0)):
+        times[0] = 0.0
+        with pytest.raises(CannotListenError):
+            listen_despite_shortage(partial(fail_to_listen, error_number), sleep, lambda: times[0])
+        assert times[0] == pytest.approx(waited_s, abs=0.02)
