Data read after a stop within its iteration has waited since the poll, and each send is checked for delay

Cause: the age of what an iteration reads was capped by 0.25 s, and a stop in that very iteration is noted only by the next poll.

Change: what an iteration reads is at least as old as its poll, without a cap. The check is made for each connection right before its send.

Evidence: the new test failed before for stops of 0.3, 1.2 and 2.0 s (0.25 s counted of 2.0).

--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -112,9 +112,10 @@
         Without it, the deadline of a query would count from the moment at which a late iteration read the
         query. Data that is ready without a wait arrived after the last poll that returned all ready
         descriptors; data that a blocking poll waited for has just arrived, unless the process stood still.
+        What an iteration reads was ready when its poll returned.
         """
         now = float(self.seconds())
-        delay = max(0.0, min(MAX_UNREAD_S, now - self._unread_since))
+        delay = max(0.0, min(MAX_UNREAD_S, now - self._unread_since), now - self._polled_at)
         for since in (self._polls_failed_since, self._stalled_since):
             if since is not None:
                 delay = max(delay, now - since)
@@ -138,10 +139,10 @@
         Registers a connection with epoll only where the socket did not take all of its data.
         """
         sent = bool(self._unsent_writers)
-        self._report_delayed_writes()
         while self._unsent_writers:
             writers, self._unsent_writers = list(self._unsent_writers), {}
             for writer in writers:
+                self._report_delay(writer)
                 descriptor = writer.fileno()
                 if descriptor == -1:
                     continue
@@ -154,17 +155,16 @@
                     super().addWriter(writer)  # type: ignore[no-untyped-call]
         return sent
 
-    def _report_delayed_writes(self) -> None:
-        """Calls ``write_delayed`` of the protocols with unsent data if the process stood still meanwhile.
+    def _report_delay(self, writer: Any) -> None:
+        """Calls ``write_delayed`` of the writer's protocol if the process stood still before this send.
 
-        What they wrote may be out of date: it was decided on before the news of the stall are read.
+        What it wrote may be out of date: it was decided on before the news of the stall are read.
         """
         if self.seconds() - self._polled_at <= STALL_S:
             return
-        for writer in list(self._unsent_writers):
-            on_delayed = getattr(writer.protocol, "write_delayed", None)
-            if on_delayed is not None:
-                on_delayed()
+        on_delayed = getattr(writer.protocol, "write_delayed", None)
+        if on_delayed is not None:
+            on_delayed()
 
     def doPoll(self, timeout: float | None) -> None:
         """Ends the previous iteration, polls for at most ``timeout`` seconds and handles the ready events."""
--- a/tests/test_loop_stalls.py
+++ b/tests/test_loop_stalls.py
@@ -195,3 +195,19 @@
     reactor.call_at_iteration_end(write_and_stand_still)
     stalled.poll()
     assert stalled.events == told
+
+
+@pytest.mark.parametrize("stall_s", STALLS_S)
+def test_data_read_in_the_iteration_of_a_stall_may_have_waited_for_all_of_it(
+    stalled: StalledReactor, stall_s: float
+) -> None:
+    """Guards against queries that are read after a stop between the poll and their read, and count as new."""
+    first, second = stalled.connections[:2]
+
+    def read_and_stand_still() -> None:
+        stalled.clock.now += stall_s
+
+    first.doRead = read_and_stand_still  # type: ignore[method-assign]
+    stalled.poller.ready.extend((first.descriptor, second.descriptor))
+    stalled.poll()
+    assert second.delays[0] >= stall_s - 1e-6
