The end of a shutdown is told as a time, like the arrival of a query

The same pattern as the parse time's fault: a duration taken at one moment was added to a later 'now', so a stop in between would have lengthened the deadlines at exit. No case was seen; found while looking for the class on related paths. Tests of the shutdown as before.

--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -244,7 +244,7 @@
         kill_after_s = min(longest_deadline_s, MAX_COUNTED_DEADLINE_S) + NOTICE_PERIOD_S
         drain_s = max(NOTICE_PERIOD_S, kill_after_s - KILL_MARGIN_S - FLUSH_TIMEOUT_S)
         self._drain_deadline = signalled_at + drain_s
-        self.exchange.begin_shutdown(drain_s - DECISION_MARGIN_S - handled_after_s)
+        self.exchange.begin_shutdown(self._drain_deadline - DECISION_MARGIN_S)
         if self.subsystems is not None:
             self.subsystems.leave()
         self.clock.callLater(max(0.0, NOTICE_PERIOD_S - handled_after_s), self._drain)
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -163,13 +163,13 @@
         )
         return number
 
-    def begin_shutdown(self, timeout_s: float) -> None:
-        """Limits deadlines of open and later queries to ``timeout_s`` from now, and notifies the controller.
+    def begin_shutdown(self, answer_by: float) -> None:
+        """Limits deadlines of open and later queries to ``answer_by``, and notifies the controller.
 
         This lets the controller refuse early what will not be served. Otherwise queries stay open until they
         are failed at exit, which is too late for their clients to try another gateway.
         """
-        self._answer_by = self.now() + timeout_s
+        self._answer_by = answer_by
         for open_query in self.open_queries.values():
             if not open_query.answered and open_query.deadline > self._answer_by:
                 open_query.deadline = self._answer_by
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -444,7 +444,7 @@
     query_number, reply = harness.submit(1, wait="9000")
     harness.execute(api.Send(query_number, "a"))
     harness.connections[0].accept()
-    harness.exchange.begin_shutdown(1.0)
+    harness.exchange.begin_shutdown(harness.clock.seconds() + 1.0)
     harness.advance()
     answer_by = harness.clock.seconds() + 1.0
     closing = harness.last_event()
