Signals are handled from before a front listens

Cause: the handlers were set once the reactor ran. From listen(2) until then the system accepts connections, and clients may write login and query at once; a SIGTERM in that time ended the process by its default action, with what had come. SIGUSR1 did the same.

Change: the handlers are set before the front listens, and again once the reactor runs, since that installs its own. What they ask for is carried out by the running loop.

Evidence: the new test, which holds a front at its start by a failing socket(2), failed before with exit status -10 (SIGUSR1).

--- a/micahold/program/start.py
+++ b/micahold/program/start.py
@@ -91,11 +91,13 @@
     twisted_log.startLoggingWithObserver(log_twisted_error, setStdout=False)
 
     def set_signal_handlers() -> None:
-        # Runs once the reactor runs, so that these replace the handlers that the reactor installs.
         signal.signal(signal.SIGTERM, lambda *_: loop.callFromThread(front.begin_shutdown, loop.seconds()))
         signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(front.reload, read_configuration))
         signal.signal(signal.SIGUSR1, lambda *_: loop.callFromThread(front.log_counters))
 
+    # Before the front listens, since clients may have sent queries from then on; and again once the reactor
+    # runs, which installs handlers of its own.
+    set_signal_handlers()
     loop.callWhenRunning(set_signal_handlers)
     try:
         front.start()
--- a/tests/test_failing_system_calls.py
+++ b/tests/test_failing_system_calls.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
+import signal
 from functools import partial
 from pathlib import Path
 
@@ -67,6 +69,26 @@
     run_for_each(tmp_path, (errno.ENOBUFS, errno.ENFILE), scenario)
 
 
+def test_signals_at_the_start_of_a_front_are_handled_once_it_runs(tmp_path: Path) -> None:
+    """Guards against a front that SIGTERM kills between its listen and its loop, with what clients sent."""
+
+    async def scenario(site: LoopbackSite, error: int) -> None:
+        front = site.fronts[0]
+        front.kill()
+        calls_before = site.faults[0].calls("socket")
+        site.faults[0].fail("socket", error, seconds=2.0)
+        front.start()
+        while site.faults[0].calls("socket") == calls_before:
+            await asyncio.sleep(0.01)
+        for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM):
+            front.send_signal(number)
+        assert await front.wait_for_exit(10.0) == 0
+        assert [event["event"] for event in front.events()].count("counters") >= 2  # SIGUSR1 and the exit
+        await site.start_fronts()
+
+    run_for_each(tmp_path, (errno.ENOBUFS,), scenario)
+
+
 def test_start_waits_for_a_listener_for_a_bounded_time_and_never_for_an_address_in_use() -> None:
     times = [0.0]
 
