Soak: the plan that shows unnoticed stops has clients that send in them

Cause, traced with each plant by itself: 'stops' broke no rule in one of two runs. Of the queries of 16 clients with up to 6 s to wait, only three were sent in any of the three stops, all of them in the last one; by chance it is none.

Nothing of the check is changed.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,11 +20,17 @@
 MAX_RUNS_AT_ONCE = 4
 
 
-def plan_with(*faults: Fault) -> SoakPlan:
-    """A plan of one front and three engines with these faults alone."""
+# A stop is short, and shows only where a client sends in it.
+CLIENTS = {"stops": 48}
+DEFAULT_CLIENTS = 16
+
+
+def telling_plan(plant: str) -> SoakPlan:
+    """A plan of one front and three engines with the faults alone that show the planted one."""
     return SoakPlan(
         seed=1, seconds=8.0, fronts=1, engines=3, deadlines_s={"lookup": 4.0, "load": 6.0, "job": 6.0},
-        dedup_window_s=20.0, sockets=1024, clients=16, crowd=0, crowd_at_s=0.0, faults=list(faults),
+        dedup_window_s=20.0, sockets=1024, clients=CLIENTS.get(plant, DEFAULT_CLIENTS), crowd=0,
+        crowd_at_s=0.0, faults=TELLING_FAULTS[plant],
     )  # fmt: skip
 
 
@@ -64,7 +70,7 @@
 
 
 def test_each_planted_fault_is_found_and_its_plan_is_kept(tmp_path: Path) -> None:
-    runs = [(plan_with(*TELLING_FAULTS[plant]), plant) for plant in PLANTS]
+    runs = [(telling_plan(plant), plant) for plant in PLANTS]
     results = run_side_by_side(tmp_path, runs)
     for number, (result, (plan, plant)) in enumerate(zip(results, runs, strict=True)):
         assert result.violations, plant
@@ -73,7 +79,7 @@
 
 
 def test_plans_that_show_planted_faults_keep_every_rule_without_them(tmp_path: Path) -> None:
-    runs = [(plan_with(*TELLING_FAULTS[plant]), "") for plant in PLANTS]
+    runs = [(telling_plan(plant), "") for plant in PLANTS]
     for plant, result in zip(PLANTS, run_side_by_side(tmp_path, runs), strict=True):
         assert result.violations == [], plant
 
