Only a client that has left breaks the connection of a POST; remade requests only beyond 0.15 s

The withdrawal was made for every attempt given up; a POST whose time is over is dropped by its engine, so it needs none.

Change: the withdrawal is made for clients that have left alone, after 50 ms; a request is made anew from 0.15 s on, the slack of the rule, for 0.1 s. Both are counted.

--- a/micahold/program/loop.py
+++ b/micahold/program/loop.py
@@ -32,6 +32,9 @@
 FAILED_POLL_DELAY_S = 0.001
 # An iteration that was this much longer than it was to be: the process stood still.
 STALL_S = 0.1
+# A request that was made longer ago is made anew before it is sent: the deadline that it passes on may be too
+# long by this.
+MAX_UNSENT_S = 0.15
 # Bounds the polls that catch up after a stall, each of up to MAX_READY_EVENTS descriptors.
 MAX_CATCH_UP_POLLS = 128
 # A poll that took longer than this has blocked: no descriptor was ready when it began.
@@ -160,7 +163,7 @@
 
         What it wrote may be out of date: it was decided on before the news of the stall are read.
         """
-        if self.seconds() - self._polled_at <= STALL_S:
+        if self.seconds() - self._polled_at <= MAX_UNSENT_S:
             return
         on_delayed = getattr(writer.protocol, "write_delayed", None)
         if on_delayed is not None:
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -46,9 +46,8 @@
 MIN_POLL_INTERVAL_S = 0.05
 # From the response to a poll until the next one, which goes on the same connection.
 POLL_AFTER_RESPONSE_S = 1.1 * REUSE_DELAY_S
-# How long an engine has to respond to a POST that is no longer wanted. An attempt may begin up to 0.1 s after
-# its client has left; a DELETE that is answered first keeps the connection.
-POST_WITHDRAWAL_DELAY_S = 0.03
+# How long an engine has to respond to a POST whose client has left: an attempt may begin 0.1 s after that.
+POST_WITHDRAWAL_DELAY_S = 0.05
 MAX_PAGES = 64
 # Unreadable responses of one attempt, each of which is requested again; one more aborts the attempt.
 MAX_UNREADABLE_RESPONSES = 8
@@ -388,18 +387,20 @@
         Ends the attempt if nothing of it was written yet; a POST that was written is withdrawn shortly.
         """
         self._may_start = False
-        if self._post_call is not None and not self._post_call.written:
-            self.abort(Outcome.NOT_STARTED)
-        else:
-            self._schedule_withdrawal()
-
-    def _schedule_withdrawal(self) -> None:
         post_call = self._post_call
-        if post_call is not None and post_call.connection is not None and self._withdrawal_timer is None:
+        if post_call is not None and not post_call.written:
+            self.abort(Outcome.NOT_STARTED)
+        elif post_call is not None and post_call.connection is not None:
             self._withdrawal_timer = self.timers.call_later(
-                POST_WITHDRAWAL_DELAY_S, post_call.break_connection
+                POST_WITHDRAWAL_DELAY_S, self._withdraw_post, post_call
             )
 
+    def _withdraw_post(self, post_call: Call) -> None:
+        """Breaks the connection of a POST without a response, so that what is on its way is discarded."""
+        if post_call.connection is not None:
+            self.counters.add("posts_withdrawn")
+            post_call.break_connection()
+
     def abort(self, outcome: Outcome) -> None:
         """Cancels the query on the engine with DELETE and ends the attempt with ``outcome``.
 
@@ -425,7 +426,6 @@
         if self._current_call is not None and self._current_call is not post_call:
             self._current_call.abandon()
         self._cancel_timer(self._delayed_request)
-        self._schedule_withdrawal()
         self._send_delete(False)
         self._lease_timer = self.timers.call_later(
             max(0.0, self._lease.lapses_at - now), self._handle_lease_lapsed
--- a/micahold/transport/engine_connection.py
+++ b/micahold/transport/engine_connection.py
@@ -106,6 +106,7 @@
         call = self.current_call
         if call is not None and not call.was_delayed:
             call.was_delayed = True
+            self.pools.counters.add("engine_calls_delayed")
             self.write_suspended()
 
     def _handle_response_timeout(self, grace_elapsed: bool) -> None:
