A front's start imports as before: the wait for a listener is a module of its own

Cause, by the test on each commit:. front.py imported the transports for the sake of one function, which loads Twisted's in another order; the modules are the same, the memory at the start is 1.6 MB more where no compiled files are kept.

Change: listen_despite_shortage stands in listening.py, which needs none of them.

--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -15,8 +15,8 @@
 from micahold.program.collector import GarbageCollector
 from micahold.program.configuration import Configuration
 from micahold.program.engine_start_times import EngineStartTimes
+from micahold.program.listening import listen_despite_shortage
 from micahold.program.log import Log
-from micahold.program.sockets import listen_despite_shortage
 from micahold.protocol.engine_list import EngineListEvent, parse_list_event
 from micahold.protocol.errors import ProtocolError
 from micahold.routing.exchange import Exchange
--- a/micahold/program/sockets.py
+++ b/micahold/program/sockets.py
@@ -8,12 +8,10 @@
 
 import errno
 import socket
-import time
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import main
-from twisted.internet.error import CannotListenError, TimeoutError
+from twisted.internet.error import TimeoutError
 from twisted.internet.tcp import Client, Connector, Port, Server
 from twisted.python import log
 
@@ -25,32 +23,6 @@
 LATE_CONNECT_GRACE_S = 0.01
 # recv(2) and send(2): the connection is whole, and the call may succeed later.
 TRANSIENT_ERRORS = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EINTR})
-# socket(2) and bind(2): the machine lacks something that it will have again.
-SHORTAGE_ERRORS = frozenset(
-    {errno.EAGAIN, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
-)
-# How long a start waits for what the machine lacks.
-MAX_LISTEN_WAIT_S = 10.0
-
-
-def listen_despite_shortage(
-    listen: Callable[[], Any],
-    sleep: Callable[[float], None] = time.sleep,
-    now: Callable[[], float] = time.monotonic,
-) -> Any:
-    """Calls ``listen`` until it succeeds, for ``MAX_LISTEN_WAIT_S`` while the machine lacks what it takes.
-
-    It blocks, so it is for the start of the process only. Raises ``CannotListenError`` at once if the address
-    is in use or can't be used.
-    """
-    give_up_at = now() + MAX_LISTEN_WAIT_S
-    while True:
-        try:
-            return listen()
-        except CannotListenError as error:
-            if error.socketError.errno not in SHORTAGE_ERRORS or now() >= give_up_at:
-                raise
-        sleep(RETRY_DELAY_S)
 
 
 class RetryingTransport:
--- a/tests/test_failing_system_calls.py
+++ b/tests/test_failing_system_calls.py
@@ -13,7 +13,7 @@
 
 from micahold.laboratory.loopback_site import LoopbackSite
 from micahold.laboratory.system_faults import SHORT
-from micahold.program.sockets import MAX_LISTEN_WAIT_S, listen_despite_shortage
+from micahold.program.listening import MAX_LISTEN_WAIT_S, listen_despite_shortage
 from tests.failing_calls import ACCEPT_ERRORS, TRANSFER_ERRORS, run_for_each, use_while_failing
 
 
