--- a/micahold/laboratory/emulated_engine.py
+++ b/micahold/laboratory/emulated_engine.py
@@ -32,6 +32,7 @@
 # A row that is none: its columns are missing.
 NOISE = b"\x00\xff noise\n"
 LATE_COPY_S = (0.002, 0.005, 0.01)
+MAX_COPY_LATENESS_S = 0.002
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -320,8 +321,12 @@
             self._start_task(self._write_late(writer, response))
 
     async def _write_late(self, writer: asyncio.StreamWriter, data: bytes) -> None:
-        await asyncio.sleep(LATE_COPY_S[self._page_count // 4 % len(LATE_COPY_S)])
-        self._write(writer, data)
+        """Writes a copy some milliseconds late; not at all if this process is late itself."""
+        delay_s = LATE_COPY_S[self._page_count // 4 % len(LATE_COPY_S)]
+        due_at = time.monotonic() + delay_s
+        await asyncio.sleep(delay_s)
+        if time.monotonic() <= due_at + MAX_COPY_LATENESS_S:
+            self._write(writer, data)
 
     def _respond(
         self, writer: asyncio.StreamWriter, status: str, headers: str = "", body: bytes = b""
