Review stand-ins: what a case started also ends when it can't start or gets SIGTERM

Cause: a front that was not ready in time left the others running. Change: the site ends them in each way out.

--- a/review/lab_2/case.py
+++ b/review/lab_2/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -44,6 +45,14 @@
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
 
     async def __aenter__(self) -> Site:
+        try:
+            await self._start()
+        except BaseException:
+            await self.end()
+            raise
+        return self
+
+    async def _start(self) -> None:
         for engine in self.engines:
             await engine.start()
         await self.channel.start()
@@ -59,7 +68,6 @@
             front.start()
         for front in self.fronts:
             await front.wait_ready()
-        return self
 
     def address(self, engine: Engine) -> str:
         """The address under which the list names an engine."""
@@ -86,13 +94,21 @@
         self._folder.cleanup()
 
 
+async def _play_until_ended(play: Callable[[Record], Awaitable[None]], record: Record) -> None:
+    """Plays the case; SIGTERM cancels it, so that what it started ends."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    await asyncio.wait_for(play(record), LONGEST_S)
+
+
 def run(play: Callable[[Record], Awaitable[None]], folder: Path) -> None:
     """Plays a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     record = Record()
     record.note("case", trouble=TROUBLE)
     try:
-        asyncio.run(asyncio.wait_for(play(record), LONGEST_S))
-    except Exception:
+        asyncio.run(_play_until_ended(play, record))
+    except (Exception, asyncio.CancelledError):
         record.note("error", trace=traceback.format_exc().replace("\n", " | "))
         record.write(folder / "record.txt", "could not run")
         print("could not run:", traceback.format_exc(limit=2), file=sys.stderr)
