A page whose rest comes in a later read is no longer served without it

Cause: by HTTP the first piece is a whole response, and the one sign of the fault, what follows on the connection, was dropped in three places. ResponseParser looked only at the read that completed the response; EngineConnection.dataReceived closed a connection with data and no call without telling anyone; and where the next page was asked for on the same connection, only that call was made again. Connections that were closed right after a response (Connection: close, room for another call, CloseIdle) left nobody to see a rest.

Change: a result counts once nothing more can belong to its pages: the next page came right behind, or a copy of the same page, or the end of the connection, or nothing for 20 ms, what lies unread being read first. A cut page is asked for again with those behind it, and counted (engine_pages_cut). The wait comes once a result, is not counted as the engine's time, and no connection makes room within it. Tests that read a result right behind its last page now let the 20 ms pass first; they check what they checked. The call that waited for room now goes out on the rested connection instead of a new one, in the same order.

--- a/micahold/protocol/http_messages.py
+++ b/micahold/protocol/http_messages.py
@@ -20,13 +20,21 @@
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
-@dataclass(slots=True)
+class NotAResponseError(ProtocolError):
+    """What was received where a response was to begin does not begin one."""
+
+
+@dataclass(slots=True, weakref_slot=True)
 class HttpResponse:
     """One complete final response.
 
     ``headers`` maps field names in lower case to values. ``keep_alive`` tells whether the connection can be
-    used for another request. ``has_trailing_data`` tells that something else than another response followed,
-    which may be the rest of a body whose stated length is too short.
+    used for another request.
+
+    A body whose stated length is too short looks complete; only what follows on its connection tells.
+    ``has_trailing_data`` says that something else than another response followed, which may be the rest of
+    the body; ``is_end_confirmed`` says that no rest of it can follow. The connection sets both later,
+    where that does not show in what was received together with the response.
     """
 
     status: int
@@ -34,6 +42,7 @@
     body: bytes
     keep_alive: bool
     has_trailing_data: bool = False
+    is_end_confirmed: bool = False
 
 
 def encode_request(
@@ -70,7 +79,7 @@
         raise ProtocolError("response head too long")
     if not VERSION_PREFIX.startswith(bytes(buffer[: len(VERSION_PREFIX)])):
         # Not deferred to the end of the head, which other data may never contain.
-        raise ProtocolError("not an HTTP/1.x response")
+        raise NotAResponseError("not an HTTP/1.x response")
     if head_end < 0:
         return None
     head = parse_response_head(bytes(buffer[:head_end]))
@@ -90,7 +99,7 @@
         or not status_and_reason[:3].isdigit()
         or status_and_reason[3:4] not in (b"", b" ")
     ):
-        raise ProtocolError("not an HTTP/1.x response")
+        raise NotAResponseError("not an HTTP/1.x response")
     headers: dict[bytes, bytes] = {}
     for line in field_lines:
         name, colon, value = line.partition(b":")
@@ -187,6 +196,11 @@
         self._body = bytearray()
         self._interim_responses = 0
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether data was received that is not yet part of a response."""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> HttpResponse | None:
         """Accepts received data; returns the response once it is complete.
 
@@ -263,13 +277,12 @@
         assert self._head is not None
         head = self._head
         is_delimited = self._body_length is not None or self._chunked_decoder is not None
-        begins_response = VERSION_PREFIX.startswith(bytes(self._buffer[: len(VERSION_PREFIX)]))
         response = HttpResponse(
             head.status,
             head.headers,
             bytes(self._body),
             head.keep_alive and is_delimited and not self._buffer,
-            has_trailing_data=not begins_response,
+            has_trailing_data=self.has_unread_data and not self._buffer.startswith(VERSION_PREFIX),
         )
         self._head = None
         self._body_length = None
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -226,7 +226,7 @@
         open_query = self.open_queries[number]
         open_query.in_flight -= 1
         self.counters.add(f"attempts_{attempt_result.outcome.value}")
-        elapsed = self.now() - sent_at
+        elapsed = self.now() - sent_at - attempt_result.confirmation_s
         result_set = attempt_result.result_set
         if result_set is not None:
             self._answer(number, "served", lambda reply: reply.send_result(result_set))
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -24,7 +24,6 @@
 from micahold.interface import Outcome
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.http_messages import HttpResponse, encode_request
-from micahold.protocol.mysql_results import ResultSetEncoder
 from micahold.transport.calls import (
     Call,
     CallError,
@@ -35,9 +34,15 @@
 )
 from micahold.transport.connection_pools import EngineConnectionPools
 from micahold.transport.directory import EngineDirectory, EngineListing
-from micahold.transport.engine_connection import LATE_READ_GRACE_S, RESPONSE_TIMEOUT_S, REUSE_DELAY_S
+from micahold.transport.engine_connection import (
+    LATE_READ_GRACE_S,
+    RESPONSE_TIMEOUT_S,
+    REUSE_DELAY_S,
+    TRAILING_DATA_DELAY_S,
+)
 from micahold.transport.query_lease import QueryLease
 from micahold.transport.response_matching import PAGE_COUNT_HEADER, expect_delete, expect_page, expect_status
+from micahold.transport.result_pages import ResultPages
 from micahold.transport.timers import TimerQueue
 
 # A query that brings no usable response for this long is aborted: its engine is lost or cut off.
@@ -89,13 +94,15 @@
     """The outcome of an attempt.
 
     ``result_set`` holds the complete response to the client and is set for ``Outcome.OK`` only;
-    ``load_report`` is the engine's load header, if its last response had one.
+    ``load_report`` is the engine's load header, if its last response had one. ``confirmation_s`` is the time
+    from the last page to the end of the attempt, in which the engine did nothing.
     """
 
     outcome: Outcome
     result_set: bytes | None = None
     load_report: bytes | None = None
     evidence: EndEvidence = EndEvidence.RESPONSE
+    confirmation_s: float = 0.0
 
 
 class Attempt:
@@ -128,13 +135,12 @@
         self._abort_outcome: Outcome | None = None
         self._number = pools.new_attempt_number()
         self._path = b"/data/" + request.query_id
-        self._first_page_response: HttpResponse | None = None
         self._page_count = 0
-        self._rows = ResultSetEncoder()
-        self._pages_read = 0
+        self._pages = ResultPages()
         self._host = b""  # value of the Host header
         self._request_suffix = b""  # ends the request line and the headers of GET and DELETE requests
         self._last_request_at = 0.0
+        self._all_pages_read_at = 0.0
         self._last_contact_at = 0.0  # of the last usable response, or the start
         self._listing: EngineListing | None = None
         self._lease = QueryLease(RESPONSE_TIMEOUT_S + LATE_READ_GRACE_S)
@@ -246,7 +252,6 @@
             delay = max(self._last_request_at + MIN_POLL_INTERVAL_S - now, POLL_AFTER_RESPONSE_S)
             self._delayed_request = self.pools.clock.callLater(delay, self._send_get, 0)
         elif response.status == 200:
-            self._first_page_response = response
             page_count = response.headers.get(PAGE_COUNT_HEADER, b"")
             if not page_count.isdigit() or len(page_count) > 3 or int(page_count) > MAX_PAGES:
                 self._handle_unreadable(0)
@@ -278,23 +283,40 @@
 
         No part of the result is sent to the client before all pages are read, so that an engine that dies
         midway is an outcome of the attempt, and not a truncated response.
-
-        A page with trailing data may have been cut by a stated length that is too short, however often the
-        same comes.
         """
-        if response.has_trailing_data:
-            self._handle_unreadable(self._pages_read)
-            return
+        call = self._current_call
+        assert call is not None and call.answered_on is not None
         try:
-            self._rows.add_page(response.body)
+            self._pages.add(response, call.answered_on)
         except ProtocolError:
-            self._handle_unreadable(self._pages_read)
+            self._handle_unreadable(len(self._pages))
             return
-        self._pages_read += 1
-        if self._pages_read < self._page_count:
-            self._send_get(self._pages_read)
+        if len(self._pages) < self._page_count:
+            self._send_get(len(self._pages))
+        else:
+            self._all_pages_read_at = self.now()
+            self._finish_if_confirmed()
+
+    def _finish_if_confirmed(self) -> None:
+        """Ends the attempt with its result once it is certain that no page lacks its rest.
+
+        A page that was cut by a stated length that is too short is requested again, with all after it.
+        """
+        if self._pages.confirm():
+            self._finish(Outcome.OK, EndEvidence.RESPONSE, self._pages.first_response)
+        elif self._remove_cut_pages():
+            self._handle_unreadable(len(self._pages))
         else:
-            self._finish(Outcome.OK, EndEvidence.RESPONSE, self._first_page_response)
+            self._delayed_request = self.pools.clock.callLater(
+                TRAILING_DATA_DELAY_S, self._finish_if_confirmed
+            )
+
+    def _remove_cut_pages(self) -> bool:
+        """Removes a page that was cut off, and all after it; False if there is none."""
+        is_cut = self._pages.remove_from_first_cut()
+        if is_cut:
+            self.counters.add("engine_pages_cut")
+        return is_cut
 
     def _handle_unreadable(self, page: int) -> None:
         """Handles a valid HTTP response whose headers or body can't be used."""
@@ -342,10 +364,13 @@
         """Requests the status or a page again, on a new connection by default.
 
         Aborts after ``CONTACT_TIMEOUT_S`` without a response or after MAX_UNREADABLE_RESPONSES. A mismatched
-        response does not show that the engine has read the call.
+        response does not show that the engine has read the call. What came in place of the response may be
+        the rest of a page before it, which is requested instead.
         """
         if self.ended or self._abort_outcome is not None:
             return
+        if self._remove_cut_pages():
+            page = len(self._pages)
         now = self.now()
         if unreadable:
             self._record_response()
@@ -514,9 +539,10 @@
         if self._has_retried and outcome is Outcome.OK:
             self.counters.add("attempts_saved")
         load_report = response.headers.get(LOAD_HEADER) if response is not None else None
-        rows = self._rows
-        self._rows = ResultSetEncoder()
+        pages = self._pages
+        self._pages = ResultPages()
         if self._abort_outcome is None:
             self._release_references()
-        result_set = rows.finish() if outcome is Outcome.OK else None
-        self.done.callback(AttemptResult(outcome, result_set, load_report, evidence))
+        result_set = pages.encode() if outcome is Outcome.OK else None
+        confirmation_s = max(0.0, self.now() - self._all_pages_read_at) if result_set is not None else 0.0
+        self.done.callback(AttemptResult(outcome, result_set, load_report, evidence, confirmation_s))
--- a/micahold/transport/calls.py
+++ b/micahold/transport/calls.py
@@ -67,7 +67,8 @@
         self.written = self.ended = False
         self.new_connection = False
         self.was_delayed = False  # made anew once, since the process stood still before it was sent
-        self.connection: EngineConnection | None = None
+        self.connection: EngineConnection | None = None  # until the call ends
+        self.answered_on: EngineConnection | None = None  # the connection that brought the response
 
     def succeed(self, response: HttpResponse) -> None:
         """Ends the call with its response, unless it has already ended."""
--- a/micahold/transport/connection_pools.py
+++ b/micahold/transport/connection_pools.py
@@ -13,7 +13,11 @@
 from micahold.counters import Counters
 from micahold.transport.calls import Call, CallNotSentError, ConnectError
 from micahold.transport.directory import EngineDirectory, EngineListing
-from micahold.transport.engine_connection import EngineConnection, EngineConnectionFactory
+from micahold.transport.engine_connection import (
+    TRAILING_DATA_DELAY_S,
+    EngineConnection,
+    EngineConnectionFactory,
+)
 from micahold.transport.response_matching import ExpectedResponse
 from micahold.transport.timers import TimerQueue
 
@@ -52,7 +56,7 @@
         # Half the engines' own idle timeout, so that no request is sent on a connection that its engine is
         # closing at that moment. 0 disables the sweep.
         self.idle_timeout = engine_idle_timeout / 2
-        self._read_pending = read_pending
+        self.read_pending = read_pending
         self.open_connections = 0  # established or being established
         self._idle: dict[EngineListing, deque[EngineConnection]] = {}
         self._retained: dict[EngineListing, int] = {}  # number of attempts that are not over
@@ -60,6 +64,7 @@
         self._sequence = count()
         self._attempt_numbers = count(1)
         self._suspended_until = -inf  # no new connections until then
+        self._next_eviction: Any = None  # delayed call that dispatches once a connection may be evicted
         self._sweep = (
             clock.callLater(SWEEP_INTERVAL_S, self._close_expired_idle) if self.idle_timeout > 0 else None
         )
@@ -130,10 +135,9 @@
         is.
         """
         for connection in reversed(tuple(self._idle.get(call.listing, ()))):
-            if not connection.may_carry(call) or not self._read_pending(connection.transport):
+            if not connection.may_carry(call) or not self.read_pending(connection.transport):
                 continue
-            if not connection.closing:  # reading has found nothing
-                self._idle[call.listing].remove(connection)
+            if self.withdraw(connection):  # reading has found nothing
                 return connection
         return None
 
@@ -216,17 +220,29 @@
     def connection_closed(self, connection: EngineConnection) -> None:
         """Removes a connection and dispatches waiting calls in a later reactor turn."""
         self.open_connections -= 1
-        idle = self._idle.get(connection.listing)
-        if idle and connection in idle:
-            idle.remove(connection)
+        self.withdraw(connection)
         self.clock.callLater(0, self.dispatch_waiting)
 
+    def withdraw(self, connection: EngineConnection) -> bool:
+        """Takes a connection out of its pool; False if it is not in there."""
+        idle = self._idle.get(connection.listing, ())
+        if connection not in idle:
+            return False
+        self._idle[connection.listing].remove(connection)
+        return True
+
     def _evict_longest_idle(self) -> bool:
-        """Aborts the connection that has been idle the longest, of any engine; False if none is idle."""
-        longest_idle = min((idle[0] for idle in self._idle.values() if idle), key=_idle_since, default=None)
-        if longest_idle is not None:
-            longest_idle.abort()
-        return longest_idle is not None
+        """Aborts the connection that has been idle the longest, of any engine; False if there is none.
+
+        One whose last response may still have a rest to come stays; another try follows shortly.
+        """
+        oldest = [idle[0] for idle in self._idle.values() if idle]
+        evictable = [connection for connection in oldest if not connection.awaits_trailing_data()]
+        if evictable:
+            min(evictable, key=_idle_since).abort()
+        elif oldest and (self._next_eviction is None or not self._next_eviction.active()):
+            self._next_eviction = self.clock.callLater(TRAILING_DATA_DELAY_S, self.dispatch_waiting)
+        return bool(evictable)
 
     def close_idle(self, engine: str) -> None:
         """Aborts the idle connections to the current listing of an engine."""
--- a/micahold/transport/engine_connection.py
+++ b/micahold/transport/engine_connection.py
@@ -4,6 +4,7 @@
 
 import errno
 from typing import TYPE_CHECKING, Any
+from weakref import ReferenceType, ref
 
 from twisted.internet import error as twisted_error
 from twisted.internet.interfaces import IAddress
@@ -11,7 +12,7 @@
 from twisted.python.failure import Failure
 
 from micahold.protocol.errors import ProtocolError
-from micahold.protocol.http_messages import HttpResponse, ResponseParser
+from micahold.protocol.http_messages import HttpResponse, NotAResponseError, ResponseParser
 from micahold.transport.calls import (
     Call,
     ConnectionBrokenError,
@@ -19,7 +20,7 @@
     UnreadableResponseError,
 )
 from micahold.transport.directory import EngineListing
-from micahold.transport.response_matching import DELETE_ACKNOWLEDGED
+from micahold.transport.response_matching import DELETE_ACKNOWLEDGED, OK
 from micahold.transport.timers import Timer
 
 if TYPE_CHECKING:
@@ -32,7 +33,10 @@
 # Minimum time between a response and the next call on its connection: a duplicate of the response arrives
 # within it and can't be mistaken for the response to the next call.
 REUSE_DELAY_S = 0.02
-# The same after the response to a DELETE, of which a duplicate would acknowledge the next DELETE.
+# How long the rest of a response whose stated length is too short is waited for. A client is answered only
+# after this time, so it is as short as that for a duplicate.
+TRAILING_DATA_DELAY_S = REUSE_DELAY_S
+# REUSE_DELAY_S after the response to a DELETE, of which a duplicate would acknowledge the next DELETE.
 DELETE_REUSE_DELAY_S = 0.05
 # socket(2) and connect(2): the front itself lacks something, which says nothing of the engine.
 LOCAL_CONNECT_ERRORS = frozenset(
@@ -65,6 +69,8 @@
         self.closing = False
         self._reader = ResponseParser()
         self._response_timer: Timer | None = None
+        # The last response, if it has a page whose end is not confirmed; its attempt owns it.
+        self._unconfirmed: ReferenceType[HttpResponse] | None = None
 
     def connectionMade(self) -> None:
         transport: Any = self.transport
@@ -128,11 +134,12 @@
     def dataReceived(self, data: bytes) -> None:
         call = self.current_call
         if call is None:
-            self.abort()  # an engine must not send data on an idle connection
+            self._read_unasked(data)
             return
         try:
             response = self._reader.feed(data)
         except ProtocolError as error:
+            self._confirm_end(is_whole=not isinstance(error, NotAResponseError))
             self.abort_call()
             self.pools.counters.add("engine_answers_unreadable")
             call.fail(UnreadableResponseError(str(error)))
@@ -141,33 +148,117 @@
             self._finish_call(call, response)
 
     def _finish_call(self, call: Call, response: HttpResponse) -> None:
-        """Releases or aborts the connection, then delivers the response if it answers the call."""
+        """Releases or closes the connection, then delivers the response if it answers the call."""
         if not call.expected.matches(response):
-            self.abort_call()
+            self._detach_call()
+            self._note_copy(response)
+            self._read_unasked(b"")
             self._fail_mismatched(call)
             return
+        self._confirm_end(is_whole=True)
         self.current_call = call.connection = None
+        call.answered_on = self
         self._cancel_response_timer()
         self.reuse_delay_s = DELETE_REUSE_DELAY_S if response.status == DELETE_ACKNOWLEDGED else REUSE_DELAY_S
+        if response.status == OK and not response.has_trailing_data:
+            self._unconfirmed = ref(response)
+        self.idle_since = self.pools.clock.seconds()
         if response.keep_alive:
             self.pools.release(self)
         else:
-            self.abort()
+            self._read_unasked(b"")
         call.succeed(response)
         if self.pools.waiting_calls:
             self.pools.dispatch_waiting()
 
-    def abort_call(self) -> None:
-        """Detaches the current call, which is neither answered nor failed, and aborts the connection."""
+    # The end of the last response
+
+    def _read_unasked(self, data: bytes) -> None:
+        """Reads data without an open call: a copy of a response, or the rest of one.
+
+        The connection carries no other call, since what comes on it can't be told apart any more.
+        """
+        try:
+            copy = self._reader.feed(data)
+            while copy is not None:
+                self._note_copy(copy)
+                copy = self._reader.feed(b"")
+        except ProtocolError as error:
+            self._confirm_end(is_whole=not isinstance(error, NotAResponseError))
+            self.abort()
+        else:
+            self._close_after_rest()
+
+    def _note_copy(self, copy: HttpResponse) -> None:
+        """Notes what a response without a call tells of the last one: a copy of that follows its end."""
+        last = self._unconfirmed_response()
+        if copy.has_trailing_data:
+            self._confirm_end(is_whole=False)
+        elif last is not None and (copy.headers, copy.body) == (last.headers, last.body):
+            self._confirm_end(is_whole=True)
+
+    def _unconfirmed_response(self) -> HttpResponse | None:
+        """The last response, if it is in use and its end is not confirmed."""
+        return self._unconfirmed() if self._unconfirmed is not None else None
+
+    def _confirm_end(self, is_whole: bool) -> None:
+        """Notes whether the last response is whole; otherwise what followed may be its rest."""
+        response = self._unconfirmed_response()
+        self._unconfirmed = None
+        if response is not None:
+            response.is_end_confirmed = is_whole
+            response.has_trailing_data = not is_whole
+
+    def awaits_trailing_data(self) -> bool:
+        """Whether it is too early to tell that no rest of the last response follows here."""
+        if self._unconfirmed_response() is None:
+            return False
+        return bool(self.pools.clock.seconds() < self.idle_since + TRAILING_DATA_DELAY_S)
+
+    def confirm_last_response(self) -> bool:
+        """Reads what has arrived behind the last response and confirms its end.
+
+        False if it is too early, or if the transport can't be read now.
+        """
+        response = self._unconfirmed_response()
+        if response is None:
+            return True
+        if self.awaits_trailing_data() or not (self.pools.read_pending(self.transport) or self.closing):
+            return False
+        if self._unconfirmed_response() is response:  # reading has brought nothing
+            self._confirm_end(is_whole=True)
+        return self._unconfirmed is None
+
+    def _close_after_rest(self) -> None:
+        """Closes a connection that carries no other call, once a rest of its response would have come."""
+        self.pools.withdraw(self)
+        remaining_s = self.idle_since + TRAILING_DATA_DELAY_S - self.pools.clock.seconds()
+        if not self.awaits_trailing_data():
+            self.abort()
+        elif self._response_timer is None:
+            self._response_timer = self.pools.timers.call_later(remaining_s, self.abort)
+
+    def _detach_call(self) -> None:
+        """Ends the current call on this connection; the call itself is neither answered nor failed."""
         call = self.current_call
         self.current_call = None
+        self._cancel_response_timer()
         if call is not None:
             call.connection = None
+
+    def abort_call(self) -> None:
+        """Detaches the current call, which is neither answered nor failed, and aborts the connection."""
+        self._detach_call()
         self.abort()
 
     def abort(self) -> None:
-        """Closes the connection with a TCP reset, so that unsent data is discarded."""
+        """Closes the connection with a TCP reset, so that unsent data is discarded.
+
+        A response whose rest might still have come counts as cut off.
+        """
         self._cancel_response_timer()
+        if not self.closing and not self.confirm_last_response():
+            self._confirm_end(is_whole=False)
         if not self.closing:
             self.closing = True
             self.pools.connection_closed(self)
@@ -181,6 +272,7 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._cancel_response_timer()
+        self._confirm_end(is_whole=True)
         call = self.current_call
         self.current_call = None
         if not self.closing:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -21,6 +21,7 @@
     LATE_READ_GRACE_S,
     RESPONSE_TIMEOUT_S,
     REUSE_DELAY_S,
+    TRAILING_DATA_DELAY_S,
 )
 from micahold.transport.query_lease import (
     CALL_HOLD_S,
@@ -77,6 +78,7 @@
     network.advance(0.5)
     assert b"Via-Wait: 4500\r\n" in network.connections[1].accept().transport.take_written()
     network.connections[1].send(http_response(200, PAGE, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
@@ -115,6 +117,7 @@
     assert not results
     assert connection.transport.take_written() == get(2)
     connection.send(http_response(200, b"", X_Sheet="2"))
+    network.advance(TRAILING_DATA_DELAY_S)
     (result,) = results
     assert result.outcome is Outcome.OK
     assert result.result_set is not None
@@ -129,6 +132,7 @@
     network = EngineHarness()
     _, results = network.start_attempt()
     first_connection(network).send(http_response(200, b"", X_Sheets=pages))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
@@ -173,6 +177,7 @@
     retry = network.connections[1].accept()
     assert retry.transport.take_written() == get(0)
     retry.send(http_response(200, PAGE, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
     assert results[0].result_set is not None and decode_result_set(results[0].result_set) == [
         (b"a", b"1", b"x")
@@ -207,6 +212,7 @@
     assert connection.transport.aborted
     network.advance()
     network.connections[1].accept().send(http_response(200, PAGE, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
@@ -246,6 +252,7 @@
     assert connection.transport.take_written() == get(0)
     assert len(network.connections) == 1
     connection.send(http_response(200, PAGE, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
@@ -290,6 +297,7 @@
             connection = network.connections[1].accept()
             assert connection.transport.take_written() == get(page)
         connection.send(http_response(200, PAGE, **number))
+    network.advance(TRAILING_DATA_DELAY_S)
     (result,) = results
     assert result.result_set is not None
     assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 3
@@ -314,11 +322,115 @@
             connection = network.connections[1].accept()
             assert connection.transport.take_written() == get(page)
         connection.send(http_response(200, whole, **number))
+    network.advance(TRAILING_DATA_DELAY_S)
     (result,) = results
     assert result.result_set is not None
     assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 6
 
 
+@pytest.mark.parametrize("late_s", [0.0, 0.003, 0.019])
+@pytest.mark.parametrize("connection_option", ["keep-alive", "close"])
+@pytest.mark.parametrize("spoilt_page", [0, 1, 2])
+def test_page_whose_rest_comes_in_a_later_read_is_not_served_with_rows_missing(
+    spoilt_page: int, connection_option: str, late_s: float
+) -> None:
+    """Guards against a page in two pieces that states the length of the first and is taken for whole."""
+    network = EngineHarness()
+    _, results = network.start_attempt()
+    connection = first_connection(network)
+    whole = PAGE * 3
+    for page in range(spoilt_page):
+        connection.send(http_response(200, whole, **_page_header(page)))
+    connection.send(http_response(200, PAGE, Connection=connection_option, **_page_header(spoilt_page)))
+    network.advance(late_s)
+    connection.send(whole[len(PAGE) :])
+    assert connection.transport.aborted and not results
+    for _ in range(6):
+        network.advance(TRAILING_DATA_DELAY_S)
+        _answer_page_requests(network, whole)
+    (result,) = results
+    assert result.result_set is not None
+    assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 9
+
+
+def _page_header(page: int) -> dict[str, str]:
+    """The header that goes with a page of three."""
+    return {"X_Sheet": str(page)} if page else {"X_Sheets": "3"}
+
+
+def _answer_page_requests(network: EngineHarness, page_body: bytes) -> None:
+    """Answers all requests for pages, on connections that are accepted if they wait for that."""
+    for connection in network.connections:
+        if connection.protocol is None:
+            connection.accept()
+        if connection.transport.disconnecting:
+            continue
+        written = connection.transport.take_written()
+        for page in range(3):
+            if written == get(page):
+                connection.send(http_response(200, page_body, **_page_header(page)))
+
+
+def test_rest_of_a_page_that_a_late_front_has_not_read_is_read_before_the_result_is_served() -> None:
+    """Guards against a rest that lies unread while the front stands still and its timers come first."""
+    network = EngineHarness()
+    _, results = network.start_attempt()
+    connection = first_connection(network)
+    connection.send(http_response(200, PAGE, X_Sheets="1"))
+    connection.arrive(PAGE)
+    network.advance(1.0)
+    assert connection.transport.aborted and not results
+    network.connections[1].accept().send(http_response(200, PAGE * 2, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
+    (result,) = results
+    assert result.result_set is not None
+    assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 2
+
+
+@pytest.mark.parametrize("rest_comes", [False, True])
+def test_page_whose_connection_is_closed_by_the_front_at_once_is_not_taken_for_whole(
+    rest_comes: bool,
+) -> None:
+    """Guards against a rest that is never read: its connection made room, or its engine is suspected."""
+    network = EngineHarness(max_connections=1)
+    _, results = network.start_attempt()
+    connection = first_connection(network)
+    connection.send(http_response(200, PAGE, X_Sheets="1"))
+    if rest_comes:
+        connection.arrive(PAGE)
+    network.pools.close_idle("a")
+    network.advance(TRAILING_DATA_DELAY_S)
+    assert not results
+    network.connections[1].accept().send(http_response(200, PAGE * 2, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
+    (result,) = results
+    assert result.result_set is not None
+    assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 2
+
+
+def test_connection_with_a_fresh_page_makes_no_room_until_a_rest_would_have_come() -> None:
+    """Guards against a page that is read again and again while connections are scarce."""
+    network = EngineHarness(max_connections=1)
+    _, results = network.start_attempt(query_id=b"1" * 16)
+    connection = first_connection(network)
+    network.start_attempt(engine="b", query_id=b"2" * 16)
+    connection.send(http_response(200, PAGE, X_Sheets="1"))
+    assert not connection.transport.aborted and len(network.connections) == 1
+    network.advance(TRAILING_DATA_DELAY_S)
+    network.advance(TRAILING_DATA_DELAY_S)
+    assert [result.outcome for result in results] == [Outcome.OK]
+    assert len(network.connections) == 2
+
+
+def test_time_in_which_a_result_is_confirmed_is_not_the_engines() -> None:
+    """Guards against engines and queries that look slower by the wait for a rest."""
+    network = EngineHarness()
+    _, results = network.start_attempt()
+    first_connection(network).send(http_response(200, PAGE, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
+    assert results[0].confirmation_s == pytest.approx(TRAILING_DATA_DELAY_S)
+
+
 @pytest.mark.parametrize("rest", [PAGE, b"noise"])
 def test_page_with_the_same_rest_behind_it_each_time_is_never_served(rest: bytes) -> None:
     """Guards against a result with rows missing, from an engine that cuts the same page again and again."""
@@ -359,6 +471,7 @@
     connection = network.connections[1].accept()
     assert connection.transport.take_written() == get(0)
     connection.send(http_response(200, PAGE, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
@@ -500,6 +613,7 @@
     network.advance()
     assert network.connections[1].accept().transport.take_written() == get(0)
     network.connections[1].send(http_response(200, PAGE, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
@@ -569,6 +683,7 @@
     retry = network.connections[1].accept()
     assert retry.transport.take_written() == get(1)
     retry.send(http_response(200, PAGE, X_Sheet="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
@@ -736,6 +851,7 @@
     network.advance(MIN_POLL_INTERVAL_S)
     assert other_connection.transport.take_written() == get(0)
     other_connection.send(http_response(200, PAGE, X_Sheets="1"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert [result.outcome for result in results] == [Outcome.OK]
 
 
@@ -762,6 +878,7 @@
         if ending in ("cancelled", "expired"):
             network.connections[1].accept().send(http_response(204))
             acknowledge_second_delete(network)
+        network.advance(TRAILING_DATA_DELAY_S)
         assert len(results) == 1
         del attempt
         network.advance(3.0)
--- a/tests/test_engine_calls.py
+++ b/tests/test_engine_calls.py
@@ -22,6 +22,7 @@
     LATE_READ_GRACE_S,
     RESPONSE_TIMEOUT_S,
     REUSE_DELAY_S,
+    TRAILING_DATA_DELAY_S,
 )
 from micahold.transport.response_matching import ExpectedResponse, expect_delete, expect_page, expect_status
 from tests.network import EngineHarness, engine_list_event, http_response
@@ -209,6 +210,7 @@
     network.call("one")
     connection = network.connections[0].accept()
     connection.send(http_response(Connection="close"))
+    network.advance(TRAILING_DATA_DELAY_S)
     assert connection.transport.aborted
     network.call("two")
     assert len(network.connections) == 2
@@ -246,10 +248,12 @@
     network.call("late", due_at=9.0)
     network.call("soon", due_at=2.0)
     assert len(network.connections) == 1
-    network.connections[0].accept().send(http_response())
-    assert network.connections[1].accept().transport.take_written() == b"soon"
-    network.connections[1].send(http_response())
-    assert network.connections[2].accept().transport.take_written() == b"late"
+    connection = network.connections[0].accept()
+    for name in (b"one", b"soon", b"late"):
+        assert connection.transport.take_written() == name
+        connection.send(http_response())
+        network.advance(TRAILING_DATA_DELAY_S)
+    assert len(network.connections) == 1
     assert network.pools.open_connections == 1
 
 
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -11,6 +11,7 @@
 from micahold.protocol.query_fields import ClientQuery, parse_query
 from micahold.routing.exchange import Exchange
 from micahold.transport.clients import UnusableQueryError
+from micahold.transport.engine_connection import TRAILING_DATA_DELAY_S
 from tests import build
 from tests.network import PAGE, EngineHarness, engine_list_event, http_response
 
@@ -166,6 +167,7 @@
     harness.connections[0].accept().send(
         http_response(200, PAGE, X_Sheets="1", Srv_Load="inflight:7;util:0.5")
     )
+    harness.advance(TRAILING_DATA_DELAY_S)
     assert [kind for kind, _ in reply.answers] == ["served"]
     harness.advance()
     event = harness.last_event()
@@ -216,6 +218,7 @@
     assert (event.outcome, event.query_settled) == (api.Outcome.ERROR, False)
     harness.execute(api.Send(query_number, "b"))
     harness.connections[1].accept().send(http_response(200, PAGE, X_Sheets="1"))
+    harness.advance(TRAILING_DATA_DELAY_S)
     assert [kind for kind, _ in reply.answers] == ["served"]
 
 
@@ -235,7 +238,7 @@
     ]
     assert drops == [api.QueryDropped(query_number)]
     connection.send(http_response(200, PAGE, X_Sheets="1"))
-    harness.advance()
+    harness.advance(TRAILING_DATA_DELAY_S)
     assert not reply.answers
     assert not harness.exchange.open_queries
 
@@ -369,6 +372,7 @@
     harness.execute(api.Refuse(query_numbers[0]), api.Fail(query_numbers[1]), api.Send(query_numbers[2], "a"))
     harness.connections[0].accept().send(http_response(200, PAGE, X_Sheets="1"))
     harness.exchange.drop(query_numbers[3])
+    harness.advance(TRAILING_DATA_DELAY_S)
     counts = harness.counters.values
     answered = counts["queries_served"] + counts["queries_refused"] + counts["queries_failed"]
     assert (answered, counts["queries_dropped"], harness.exchange.unanswered_count) == (3, 1, 2)
--- a/tests/test_response_matching.py
+++ b/tests/test_response_matching.py
@@ -1,7 +1,8 @@
 """A property of calls to engines: whatever an engine sends twice or besides, no query gets another's rows.
 
-Engines answer in virtual time; some answers have a second copy, noise behind or interim responses ahead, and
-the front stands still now and then, so that what arrives lies unread.
+Engines answer in virtual time; some answers have a second copy, noise behind or interim responses ahead, some
+state the length of their first row and bring the others later, some close their connection. The front stands
+still now and then, so that what arrives lies unread.
 """
 
 from __future__ import annotations
@@ -56,6 +57,7 @@
     random: Random
     started: set[bytes] = field(default_factory=set)
     arrivals: list[Arrival] = field(default_factory=list)
+    busy_until: dict[int, int] = field(default_factory=dict)  # step, by connection
 
     def handle_requests(self, step: int) -> None:
         """Reads what the front has written and plans the answers."""
@@ -90,11 +92,15 @@
             )
         else:
             answer = http_response(200, page_of(query_id, int(page)), X_Sheet=page.decode())
+        step = max(step, self.busy_until.get(id(connection), 0))
         self._plan(step + self.random.choice((0, 1, 3, 30)), connection, answer)
 
     def _plan(self, step: int, connection: ServerEnd, answer: bytes) -> None:
         trouble = self.random.random()
         is_good = answer.startswith(b"HTTP/1.1 200")
+        if is_good and trouble >= 0.8:
+            self._plan_cut_page(step, connection, answer)
+            return
         if is_good and trouble < 0.1:
             answer = INTERIM + answer
         split = self.random.randrange(len(answer) + 1) if self.random.random() < 0.2 else 0
@@ -109,6 +115,18 @@
             late = self.random.randrange(MAX_COPY_DELAY_STEPS)
             self.arrivals.append(Arrival(step + late, connection, b"noise"))
 
+    def _plan_cut_page(self, step: int, connection: ServerEnd, answer: bytes) -> None:
+        """Plans a page that states the length of its first row, with its other rows later."""
+        head, _, body = answer.partition(b"\r\n\r\n")
+        first_row_bytes = body.index(b"\n") + 1
+        head = head.replace(b"Content-Length: %d" % len(body), b"Content-Length: %d" % first_row_bytes)
+        if self.random.random() < 0.3:
+            head += b"\r\nConnection: close"
+        rest_step = step + self.random.randrange(MAX_COPY_DELAY_STEPS)
+        self.arrivals.append(Arrival(step, connection, head + b"\r\n\r\n" + body[:first_row_bytes]))
+        self.arrivals.append(Arrival(rest_step, connection, body[first_row_bytes:]))
+        self.busy_until[id(connection)] = rest_step  # it reads the next call after that
+
     def deliver(self, step: int) -> None:
         """Lets arrive what is due; the front has not read it yet."""
         for arrival in [arrival for arrival in self.arrivals if arrival.step <= step]:
@@ -158,8 +176,10 @@
 
 @settings(max_examples=150)
 @given(st.integers(0, 2**32))
-def test_no_history_of_copies_noise_and_stalls_serves_a_query_rows_that_are_not_its_own(seed: int) -> None:
-    """Guards against a copy that is taken as the answer to another call: lost loads and foreign rows."""
+def test_no_history_of_copies_noise_cut_pages_and_stalls_serves_a_query_rows_that_are_not_its_own(
+    seed: int,
+) -> None:
+    """Guards against a copy that is taken as the answer to another call, and a cut page taken for whole."""
     served = 0
     for query_id, results in run_history(seed):
         for result in results:
