A query whose packet states too short a length is not run without its rest

A bad client whose packet ends before its statement had the first part run by an engine and could be answered "served": the session took the packet at its word, submitted the query, and looked at what followed only after the answer.

While a query is open, the header behind it is now checked as soon as its four bytes are there: a command begins with sequence number 0 and a length within the limit, and the rest of a statement does not. The session ends with an error, the query is dropped, and what has come in one read is dropped before anything is sent. A rest of one to three bytes can't be told from a good command that comes in pieces.

--- a/micahold/protocol/mysql_packets.py
+++ b/micahold/protocol/mysql_packets.py
@@ -76,10 +76,7 @@
         if len(buffer) < HEADER_BYTES:
             self._forget_arrivals_but_last()
             return None
-        payload_bytes = int.from_bytes(buffer[:3], "little")
-        if payload_bytes > self.max_payload_bytes:
-            raise ProtocolError("packet too large")
-        packet_end = HEADER_BYTES + payload_bytes
+        packet_end = HEADER_BYTES + self._next_payload_bytes()
         if len(buffer) < packet_end:
             self._forget_arrivals_but_last()
             return None
@@ -89,6 +86,23 @@
         self._consume(packet_end)
         return sequence_id, payload
 
+    def _next_payload_bytes(self) -> int:
+        payload_bytes = int.from_bytes(self._buffer[:3], "little")
+        if payload_bytes > self.max_payload_bytes:
+            raise ProtocolError("packet too large")
+        return payload_bytes
+
+    def check_next_command(self) -> None:
+        """Checks the header of the next packet, without taking it, if that much has been received.
+
+        Raises ``ProtocolError`` if no command begins there: it is the rest of a packet whose stated length is
+        too short, or noise.
+        """
+        if len(self._buffer) >= HEADER_BYTES:
+            self._next_payload_bytes()
+            if self._buffer[HEADER_BYTES - 1]:
+                raise ProtocolError("packet out of order")
+
     def _forget_arrivals_but_last(self) -> None:
         """The packet that comes next is incomplete, so it will have arrived with the last read or later."""
         while len(self._arrivals) > 1:
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -154,6 +154,8 @@
         try:
             self._reader.feed(data, arrived_at)
             self._process_packets()
+            if self.query_number is not None:
+                self._reader.check_next_command()  # what follows may be the rest of the open query
         except ProtocolError as error:
             self.sessions.counters.add("client_packets_bad")
             self._close_with_error(ER_NET_PACKET_TOO_LARGE, str(error))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -483,6 +483,36 @@
     assert transport.disconnecting and not harness.handler.queries
 
 
+@pytest.mark.parametrize("in_one_read", [True, False])
+@pytest.mark.parametrize("missing_bytes", [4, 12])
+def test_query_whose_packet_states_too_short_a_length_is_not_run_without_its_rest(
+    missing_bytes: int, in_one_read: bool
+) -> None:
+    """Guards against a statement that is cut off by the length of its packet and answered as served."""
+    harness = harness_with_sweep()
+    session, transport = harness.connect_and_log_in()
+    whole = query_with_fields()
+    cut_length = len(whole) - 4 - missing_bytes
+    cut, rest = whole[: 4 + cut_length], whole[4 + cut_length :]
+    pieces = [cut[4:] + rest] if in_one_read else [cut[4:], rest]
+    session.dataReceived(cut_length.to_bytes(3, "little") + b"\0" + pieces[0])
+    for piece in pieces[1:]:
+        session.dataReceived(piece)
+    assert harness.handler.dropped == [1]
+    assert error_of(transport.take_written()).code in (1153, 1156)
+    assert transport.disconnecting
+
+
+def test_good_query_behind_an_open_one_does_not_end_its_session() -> None:
+    """Guards against a check of what waits that takes part of a packet for one that can't be read."""
+    harness = harness_with_sweep()
+    session, transport = harness.connect_and_log_in()
+    session.dataReceived(query_with_fields(1))
+    for byte in query_with_fields(2):
+        session.dataReceived(bytes((byte,)))
+    assert not harness.handler.dropped and not transport.disconnecting
+
+
 def test_stall_of_the_front_times_out_no_client() -> None:
     harness = harness_with_sweep()
     session, transport = harness.connect()
