A discovery that takes long to answer is heard: calls are kept beside newer ones

Cause: the 2.5 s in which a stream must bring a comment were also the time for a call that was not answered yet, on every call alike, so none outlasted the answer. The front's log shows a channel_silent each 2.50 s and no event. Connections that took over 1 s to come up were given up the same way.

Change: a call without an answer is kept for up to 30 s, and another is made after 2.5 s (1 s where no connection comes up), then each 5 s; the first part of a stream ends the others, and three wait at most. A longer timeout alone would have made the front deaf to a discovery that has lost the call. One call is a class of its own (channel_call.py). A call that isn't answered is logged as channel_unanswered, so that the log tells it from a stream that has stopped.

The test of a change of address while connecting looks at the connector of the stopped call, since the new call is made at once.

--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -4,14 +4,20 @@
 
 from typing import Any
 
+import pytest
+
 from micahold.counters import Counters
 from micahold.transport.channel import (
+    CONNECT_WAIT_S,
+    MAX_ANSWER_WAIT_S,
+    MAX_CALLS,
     MAX_RECONNECT_DELAY_S,
     SILENCE_TIMEOUT_S,
     STABLE_CONNECTION_S,
     CommandChannel,
 )
-from tests.network import MemoryNetwork
+from micahold.transport.channel_call import CALL_TIMEOUT_S
+from tests.network import MemoryNetwork, ServerEnd
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
@@ -160,7 +166,7 @@
     network.connections[0].refuse()
     network.advance()
     network.channel.change_address(("127.0.0.1", 7071))
-    assert network.clock.connectors[-1].stoppedConnecting
+    assert network.clock.connectors[1].stoppedConnecting
     network.connections[1].refuse()
     network.advance()
     assert network.connections[2].address[1] == 7071
@@ -177,3 +183,156 @@
     assert b"\r\nLast-Event-ID: 3\r\n" in connection.transport.take_written()
     connection.send(HEAD + b"id: 4\ndata: unreadable?\n\n" + event(5))
     assert network.delivered == [b"unreadable?", b"unreadable?", b"e5"]
+
+
+class SlowServer:
+    """The server's end of a channel: connections come up late, and calls are answered late or never."""
+
+    def __init__(self, network: ChannelNetwork) -> None:
+        self.network = network
+        self.connect_s = 0.0  # from the connect until the connection is established
+        self.head_s = 0.0  # from the call to the head of its answer
+        self.events_s = 0.0  # from the call to the events
+        self.lost_before = 0.0  # calls that came earlier are never answered
+        self.answered = 0
+        self._requested_at: dict[int, float] = {}
+        self._called_at: dict[int, float] = {}
+        self._heads: set[int] = set()
+        self._done: set[int] = set()
+        self._ended: set[int] = set()
+
+    def open_calls(self) -> int:
+        """Number of calls that are connecting or connected and not answered."""
+        connectors = self.network.clock.connectors
+        return sum(
+            not connection.transport.aborted and not connectors[number].stoppedConnecting
+            for number, connection in enumerate(self.network.connections)
+            if number not in self._done
+        )
+
+    def advance(self, seconds: float, step_s: float = 0.05) -> None:
+        """Plays ``seconds``, with an event in each answer that comes."""
+        for _ in range(round(seconds / step_s)):
+            self.network.advance(step_s)
+            now = self.network.clock.seconds()
+            for number, connection in enumerate(self.network.connections):
+                if not self.network.clock.connectors[number].stoppedConnecting:
+                    self._serve(number, connection, now)
+
+    def _serve(self, number: int, connection: ServerEnd, now: float) -> None:
+        requested_at = self._requested_at.setdefault(number, now)
+        if number in self._ended:
+            return
+        if connection.protocol is None and not self._accept(number, connection, now - requested_at):
+            return
+        if connection.transport.aborted:
+            self._ended.add(number)
+            connection.disconnect()
+            return
+        called_at = self._called_at.setdefault(number, now)
+        if called_at < self.lost_before:
+            return
+        if number not in self._heads and now >= called_at + self.head_s:
+            self._heads.add(number)
+            connection.send(HEAD)
+        if number in self._heads and now >= called_at + self.events_s:
+            if number not in self._done:
+                self._done.add(number)
+                self.answered += 1
+                connection.send(event(4))
+            connection.send(b": alive\n\n")
+
+    def _accept(self, number: int, connection: ServerEnd, waited_s: float) -> bool:
+        """Establishes the connection once it is due, or lets the front give it up; False until then."""
+        if waited_s < min(self.connect_s, connection.timeout):
+            return False
+        if self.connect_s > connection.timeout:
+            self._ended.add(number)
+            connection.time_out()
+            return False
+        connection.accept()
+        return True
+
+
+@pytest.mark.parametrize("answer_s", [2.4, 3.0, 6.0, 12.0, 25.0])
+@pytest.mark.parametrize("head_comes_at_once", [False, True])
+def test_server_that_takes_long_to_answer_each_call_is_heard(
+    head_comes_at_once: bool, answer_s: float
+) -> None:
+    """Guards against a front that gives each call up before its answer and never hears of a drain."""
+    network = ChannelNetwork()
+    server = SlowServer(network)
+    server.events_s = answer_s
+    server.head_s = 0.0 if head_comes_at_once else answer_s
+    server.advance(answer_s + 0.2)
+    assert network.delivered == [b"e4"]
+    server.advance(20.0)
+    assert server.open_calls() == 0 and server.answered == 1
+    assert network.log_events.count("channel_silent") == 0
+
+
+@pytest.mark.parametrize("connect_s", [1.1, 3.0, 7.0])
+def test_server_whose_connections_come_up_late_is_heard(connect_s: float) -> None:
+    """Guards against a front that gives each connect up before it is established."""
+    network = ChannelNetwork()
+    server = SlowServer(network)
+    server.connect_s = connect_s
+    server.advance(connect_s + 0.2)
+    assert network.delivered == [b"e4"]
+
+
+@pytest.mark.parametrize("outage_s", [1.0, 4.0, 8.0, 13.0, 40.0])
+def test_server_that_lost_its_calls_is_heard_by_a_new_one_soon(outage_s: float) -> None:
+    """Guards against a front that waits for the answers to calls that are lost."""
+    network = ChannelNetwork()
+    server = SlowServer(network)
+    server.lost_before = outage_s
+    server.advance(outage_s)
+    assert not network.delivered
+    server.advance(MAX_ANSWER_WAIT_S + 0.2)
+    assert network.delivered == [b"e4"]
+
+
+def test_calls_to_a_silent_server_are_few_and_bounded() -> None:
+    """Guards against a crowded server that is called more often the longer it takes."""
+    network = ChannelNetwork()
+    server = SlowServer(network)
+    server.lost_before = 1e9
+    for _ in range(600):
+        server.advance(0.1)
+        assert server.open_calls() <= MAX_CALLS
+    assert len(network.connections) <= 60.0 / MAX_ANSWER_WAIT_S + 3
+    assert network.log_events == ["channel_unanswered"] * len(network.log_events)
+
+
+def test_call_without_an_answer_is_given_up_in_the_end() -> None:
+    """Guards against a connection that is kept for ever."""
+    network = ChannelNetwork()
+    first = network.connections[0].accept()
+    network.advance(CALL_TIMEOUT_S - 0.1)
+    assert not first.transport.aborted
+    network.advance(0.1)
+    assert first.transport.aborted
+
+
+def test_change_of_address_ends_all_calls_that_wait() -> None:
+    """Guards against news of an old address, and against calls that pile up over many moves."""
+    network = ChannelNetwork()
+    old = network.connections[0].accept()
+    network.advance(SILENCE_TIMEOUT_S)
+    other = network.connections[1].accept()
+    network.channel.change_address(("127.0.0.1", 7071))
+    assert old.transport.aborted and other.transport.aborted
+    other.send(HEAD + event(4))
+    assert not network.delivered
+    network.connections[2].accept().send(HEAD + event(4))
+    network.advance(MAX_RECONNECT_DELAY_S)
+    assert network.delivered == [b"e4"] and len(network.connections) == 3
+
+
+def test_connect_that_does_not_come_up_is_followed_by_another_after_a_second() -> None:
+    """Guards against a machine that vanished and keeps the channel waiting."""
+    network = ChannelNetwork()
+    network.advance(CONNECT_WAIT_S)
+    assert len(network.connections) == 2
+    assert network.log_events == ["channel_unanswered"]
