A client that sends at full speed no longer makes the others wait

Cause: ClientSession._process_packets handled all commands of a read, up to 64 KiB, in one turn of the reactor. Kinds that end their session at the third error showed no delay with a hundred times the connections, so it isn't the cost of connections.

A session now handles 16 commands or 8 KiB a turn and goes on in the next, in which the others have theirs. It isn't closed and doesn't time out while commands wait.

test_session_handles_a_bounded_number_of_commands_a_turn_and_all_in_the_end, _one_long_command_a_turn and test_client_that_waits_for_its_turn_does_not_time_out failed before; the tests of closing and of a long login guard the change.

--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -41,6 +41,11 @@
 # Received data of one session that is not processed yet: a client may send this much while its query is open.
 MAX_SESSION_BUFFER_BYTES = MAX_PACKET_BYTES + 64 * 1024
 
+# Bounds the commands of one session that are handled before other sessions have their turn: it ends with the
+# packet that reaches either limit.
+MAX_PACKETS_PER_TURN = 16
+MAX_BYTES_PER_TURN = 8 * 1024
+
 # Interval between checks for sessions that have timed out.
 SWEEP_INTERVAL_S = 0.25
 # From the connection to the first whole command; clients send the login and the first query together.
@@ -124,6 +129,8 @@
         self.query_number: int | None = None  # the open query
         self._reader = PacketReader(MAX_PACKET_BYTES, MAX_SESSION_BUFFER_BYTES)
         self._logged_in = self._paused = self._closing = self._has_sent_command = False
+        self._turn_is_scheduled = False
+        self._awaits_turn = False  # commands that have come wait for the next turn of this session
         self.connected_at = float(sessions.clock.seconds())
         self.timeout_at = self.connected_at + FIRST_COMMAND_TIMEOUT_S
         self.idle_since = self.connected_at
@@ -187,6 +194,8 @@
         now = float(self.sessions.clock.seconds())
         if self.query_number is not None:
             self.timeout_at = inf
+        elif self._awaits_turn and self._has_sent_command:
+            self.timeout_at = now + PACKET_TIMEOUT_S
         elif self._reader.buffered_bytes and not self._paused:
             self.timeout_at = min(self.timeout_at, now + PACKET_TIMEOUT_S)
         elif self._has_sent_command:
@@ -200,6 +209,8 @@
         """
         if self._closing:
             self.abort()
+        elif self._awaits_turn:
+            return  # it is not the client that is late
         elif self._has_sent_command and not self._reader.buffered_bytes:
             if self.close_if_idle():
                 self.sessions.counters.add("client_sessions_idle")
@@ -254,7 +265,7 @@
 
     def resumeProducing(self) -> None:
         self._paused = False
-        self.sessions.clock.callLater(0, self.dataReceived, b"")
+        self._schedule_turn()
 
     def stopProducing(self) -> None:
         self._paused = True
@@ -284,7 +295,7 @@
         if self.query_number is None and not self._closing:
             self.sessions.read_pending(self.transport)
             self.dataReceived(b"")  # packets that wait for a later reactor turn
-        if self.query_number is not None or self._closing:
+        if self.query_number is not None or self._closing or self._awaits_turn:
             return False
         self._close()
         return True
@@ -297,12 +308,24 @@
     # Packets
 
     def _process_packets(self) -> None:
-        """Handles the packets received so far, until a query is open or the client must read first."""
+        """Handles packets received so far, until a query is open, the client must read, or its turn is over.
+
+        Guards against a client that sends small commands at full speed and makes all others wait.
+        """
+        self._awaits_turn = False
+        left_packets = MAX_PACKETS_PER_TURN
+        left_bytes = MAX_BYTES_PER_TURN
         while self.query_number is None and not self._paused and not self._closing:
+            if left_packets <= 0 or left_bytes <= 0:
+                self._awaits_turn = True
+                self._schedule_turn()
+                return
             packet = self._reader.next_packet()
             if packet is None:
                 return
             sequence, payload = packet
+            left_packets -= 1
+            left_bytes -= len(payload)
             if sequence != (0 if self._logged_in else 1):
                 self.sessions.counters.add("client_packets_bad")
                 self._close_with_error(ER_NET_PACKETS_OUT_OF_ORDER, "Got packets out of order")
@@ -314,6 +337,16 @@
             else:
                 self._handle_login(payload)
 
+    def _schedule_turn(self) -> None:
+        """Handles further packets in the next reactor turn."""
+        if not self._turn_is_scheduled:
+            self._turn_is_scheduled = True
+            self.sessions.clock.callLater(0, self._start_turn)
+
+    def _start_turn(self) -> None:
+        self._turn_is_scheduled = False
+        self.dataReceived(b"")
+
     def _handle_login(self, payload: bytes) -> None:
         try:
             login = parse_handshake_response(payload)
@@ -422,7 +455,7 @@
             if self._reader.buffered_bytes:
                 # Packets that arrived meanwhile are processed in a later reactor turn, after the batch of
                 # actions that this response belongs to.
-                self.sessions.clock.callLater(0, self.dataReceived, b"")
+                self._schedule_turn()
 
 
 class ClientSessions(ServerFactory):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -17,7 +18,9 @@
 from micahold.transport.clients import (
     CLOSE_TIMEOUT_S,
     IDLE_TIMEOUT_S,
+    MAX_BYTES_PER_TURN,
     MAX_PACKET_BYTES,
+    MAX_PACKETS_PER_TURN,
     MAX_SESSION_BUFFER_BYTES,
     MAX_UNUSABLE_QUERIES,
     MIN_EVICTION_AGE_S,
@@ -503,6 +506,74 @@
     assert transport.disconnecting
 
 
+PING = command_packet(0x0E)
+
+
+def test_session_handles_a_bounded_number_of_commands_a_turn_and_all_in_the_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a client that floods its connection with small commands and makes all others wait."""
+    harness = SessionHarness()
+    session, transport = harness.connect_and_log_in()
+    turns: list[Callable[[], None]] = []
+    monkeypatch.setattr(harness.clock, "callLater", lambda _, turn: turns.append(turn))
+    session.dataReceived(PING * 1000)
+    session.dataReceived(PING * 1000)
+    answered = len(decode_packets(transport.take_written()))
+    assert answered <= 2 * MAX_PACKETS_PER_TURN  # one turn for each read
+    while turns:
+        assert len(turns) == 1
+        turns.pop()()
+        written = len(decode_packets(transport.take_written()))
+        assert written <= MAX_PACKETS_PER_TURN
+        answered += written
+    assert answered == 2000 and not transport.disconnecting
+
+
+def test_session_handles_one_long_command_a_turn() -> None:
+    """Guards against a client whose long statements, one after the other, take the time of all others."""
+    harness = SessionHarness()
+    harness.handler.error = ExpiredQueryError("past its wait on arrival")
+    session, transport = harness.connect_and_log_in()
+    session.dataReceived(query_with_fields(statement=b"SELECT " + b"a" * 2 * MAX_BYTES_PER_TURN) * 3)
+    assert len(decode_packets(transport.take_written())) == 1
+    harness.clock.advance(0)
+    assert len(decode_packets(transport.take_written())) == 2
+
+
+def test_query_behind_many_commands_is_answered_before_its_session_is_closed() -> None:
+    """Guards against a close between two turns of a session, over a query that was read."""
+    harness = SessionHarness()
+    session, transport = harness.connect_and_log_in()
+    session.dataReceived(PING * 50 + query_with_fields())
+    assert not session.close_if_idle()
+    for _ in range(5):
+        harness.clock.advance(0)
+    assert len(harness.handler.queries) == 1
+    assert not transport.disconnecting
+
+
+def test_client_that_waits_for_its_turn_does_not_time_out() -> None:
+    """Guards against a session that is closed as silent while the front has not looked at its commands."""
+    harness = harness_with_sweep()
+    session, transport = harness.connect_and_log_in()
+    session.dataReceived(PING * 2 * MAX_PACKETS_PER_TURN)
+    session.timeout_at = 0.0
+    session.handle_timeout()
+    assert not transport.disconnecting
+
+
+@pytest.mark.parametrize("filler", [b"a" * 2 * MAX_BYTES_PER_TURN])
+def test_client_that_is_silent_after_a_long_login_times_out(filler: bytes) -> None:
+    """Guards against a session without a time limit, since its login took up a whole turn."""
+    harness = harness_with_sweep()
+    session, transport = harness.connect()
+    session.dataReceived(encode_packet(1, login_packet()[4:] + filler))
+    for _ in range(20):
+        harness.clock.advance(SWEEP_INTERVAL_S)
+    assert transport.disconnecting
+
+
 def test_good_query_behind_an_open_one_does_not_end_its_session() -> None:
     """Guards against a check of what waits that takes part of a packet for one that can't be read."""
     harness = harness_with_sweep()
