An id that may have run is not run again while its client's wait lasts

Cause: Exchange freed an id once its query was answered and had no attempt in flight. An attempt that ends since the query's time is over may still run (evidence "deadline"), for up to the lease of 2.05 s behind its last call, and nothing remembered that an ended attempt may have had its effect.

Attempt.over says when the query can no longer run. The id of a query that may have run stays in use for the wait that its client had asked for, at least for the lease in which its engine knows it; the repeat gets an error at once. Queries that surely never ran free their id as before. By the protocol ids are new with every request, so usual clients don't notice.

The new tests failed before: 4 forms of an attempt that may still run; ids of served and failed queries. The test of the id of an attempt in flight now lets the reservation pass before it takes the id again; what it forbids is the same.

--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -21,10 +21,11 @@
 from micahold.protocol.load_report import parse_load_report
 from micahold.protocol.query_fields import ClientQuery
 from micahold.settings import decode_report
-from micahold.transport.attempts import Attempt, AttemptRequest, AttemptResult
+from micahold.transport.attempts import Attempt, AttemptRequest, AttemptResult, EndEvidence
 from micahold.transport.clients import ExpiredQueryError, QueryReply, UnusableQueryError
 from micahold.transport.connection_pools import EngineConnectionPools
 from micahold.transport.directory import EngineDirectory
+from micahold.transport.query_lease import ENGINE_LEASE_S, LIMIT_TOLERANCE_S
 from micahold.transport.timers import TimerQueue
 
 
@@ -38,6 +39,8 @@
 
 # Until an overdue query is looked at again while the controller has events that it has not processed.
 OVERDUE_RETRY_DELAY_S = 0.001
+# Outcomes of attempts that their engine has not run.
+NOT_RUN_OUTCOMES = (api.Outcome.FULL, api.Outcome.NOT_STARTED)
 MAX_WAIT_DEADLINE_MULTIPLE = 2.0  # a client wait above this multiple of its class's deadline is implausible
 
 
@@ -52,6 +55,7 @@
     answered: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     in_flight: int = 0
+    may_have_run: bool = False  # on an engine that an attempt has ended on
     overdue_timer: Any = None
 
 
@@ -129,7 +133,7 @@
         if tenant_index is None:
             raise UnusableQueryError("unknown tenant")
         if query.id in self._open_ids:
-            raise UnusableQueryError("this id is open already")
+            raise UnusableQueryError("this id is in use")
         if query.wait_s > MAX_WAIT_DEADLINE_MULTIPLE * self.settings.classes[class_index].deadline_s:
             raise UnusableQueryError("field wait is out of range")
         if query.wait_s <= 0:
@@ -226,6 +230,10 @@
         open_query = self.open_queries[number]
         open_query.in_flight -= 1
         self.counters.add(f"attempts_{attempt_result.outcome.value}")
+        open_query.may_have_run |= (
+            attempt_result.evidence is not EndEvidence.NEVER_SENT
+            and attempt_result.outcome not in NOT_RUN_OUTCOMES
+        )
         elapsed = self.now() - sent_at - attempt_result.confirmation_s
         result_set = attempt_result.result_set
         if result_set is not None:
@@ -421,15 +429,27 @@
         self._remove_if_finished(number, open_query)
 
     def _remove_if_finished(self, number: int, open_query: OpenQuery) -> None:
-        """Removes a query that is answered and has no attempt in flight.
-
-        Until then its id stays reserved, because engines identify queries by id.
-        """
+        """Removes a query that is answered and has no attempt in flight."""
         if (
             open_query.answered
             and open_query.in_flight == 0
             and self.open_queries.pop(number, None) is not None
         ):
+            self._release_id(open_query)
+
+    def _release_id(self, open_query: OpenQuery) -> None:
+        """Lets the id be used again, once no attempt can run and a repeat can't be the same request.
+
+        Engines identify queries by id, and know one that has ended for the time of a lease. A client that has
+        left may come again with its query as long as its wait lasts.
+        """
+        running = next((attempt for attempt in open_query.attempts if not attempt.over.called), None)
+        if running is not None:
+            running.over.addCallback(lambda _: self._release_id(open_query))
+        elif open_query.may_have_run:
+            wait_s = max(open_query.deadline - self.now(), ENGINE_LEASE_S + LIMIT_TOLERANCE_S)
+            self.timers.call_later(wait_s, self._open_ids.discard, open_query.request.id)
+        else:
             self._open_ids.discard(open_query.request.id)
 
     def fail_open_queries(self, text: str) -> None:
--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -106,7 +106,11 @@
 
 
 class Attempt:
-    """Runs one attempt and fires ``done`` exactly once; later responses and errors are ignored."""
+    """Runs one attempt and fires ``done`` exactly once; later responses and errors are ignored.
+
+    ``over`` fires when the query can no longer run on the engine: right before ``done``, or later where the
+    attempt ended with ``EndEvidence.DEADLINE``.
+    """
 
     def __init__(
         self,
@@ -129,6 +133,7 @@
         self.now = now
         self.timers = timers
         self.done: Deferred[AttemptResult] = Deferred()
+        self.over: Deferred[None] = Deferred()
         self.ended = False
         self._current_call: Call | None = None
         self._post_call: Call | None = None
@@ -509,6 +514,7 @@
         self._cancel_timer(self._lease_timer)
         self._cancel_timer(self._delayed_request)
         self._finish(self._abort_outcome, evidence)
+        self._note_over()
         self._release_references()
 
     def _release_references(self) -> None:
@@ -526,6 +532,10 @@
         self._current_call = self._post_call = self._withdrawal_timer = None
         self._delayed_request = self._lease_timer = self._expiry_timer = None
 
+    def _note_over(self) -> None:
+        if not self.over.called:
+            self.over.callback(None)
+
     def _cancel_timer(self, timer: Any) -> None:
         if timer is not None and timer.active():
             timer.cancel()
@@ -535,6 +545,8 @@
         if self.ended:
             return
         self.ended = True
+        if evidence is not EndEvidence.DEADLINE:
+            self._note_over()
         self._cancel_timer(self._expiry_timer)
         if self._has_retried and outcome is Outcome.OK:
             self.counters.add("attempts_saved")
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,9 +12,11 @@
 from micahold.routing.exchange import Exchange
 from micahold.transport.clients import UnusableQueryError
 from micahold.transport.engine_connection import TRAILING_DATA_DELAY_S
+from micahold.transport.query_lease import ENGINE_LEASE_S, LIMIT_TOLERANCE_S
 from tests import build
 from tests.network import PAGE, EngineHarness, engine_list_event, http_response
 
+ID_RESERVATION_S = ENGINE_LEASE_S + LIMIT_TOLERANCE_S
 SETTINGS = build.settings(report_columns=("rif", "busy"))
 
 
@@ -408,9 +410,64 @@
     with pytest.raises(UnusableQueryError):
         harness.exchange.submit(make_query(1), RecordingReply(), harness.clock.seconds())
     connection.send(http_response(500))
+    harness.advance(harness.exchange.settings.classes[0].deadline_s + ID_RESERVATION_S)
     harness.exchange.submit(make_query(1), RecordingReply(), harness.clock.seconds())
 
 
+@pytest.mark.parametrize("ending", ["client_left", "deadline"])
+@pytest.mark.parametrize("deletes_answered", [True, False])
+def test_query_id_stays_reserved_while_its_engine_may_still_run_it(
+    ending: str, deletes_answered: bool
+) -> None:
+    """Guards against an id that runs twice at once, when it comes again after its client has left."""
+    harness = ExchangeHarness()
+    query_number, _ = harness.submit(wait="300")
+    harness.execute(api.Send(query_number, "a"))
+    harness.connections[0].accept()
+    if ending == "client_left":
+        harness.exchange.drop(query_number)
+        harness.execute(api.Cancel(query_number, 0))
+    harness.advance(0.35)
+    if ending == "deadline":
+        harness.execute(api.Fail(query_number))
+    assert not harness.exchange.open_queries
+    with pytest.raises(UnusableQueryError):
+        harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
+    if deletes_answered:
+        connection = harness.connections[-1].accept()
+        for _ in range(2):  # the first one may have overtaken the POST
+            connection.send(http_response(204))
+            harness.advance(0.1)
+    else:
+        harness.advance(4.0)
+    with pytest.raises(UnusableQueryError):
+        harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
+    harness.advance(ID_RESERVATION_S)
+    harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
+
+
+@pytest.mark.parametrize("outcome", ["served", "error", "full"])
+def test_query_id_that_may_have_run_is_not_run_again_while_its_wait_lasts(outcome: str) -> None:
+    """Guards against an id that runs twice, one after the other, when its client comes again."""
+    harness = ExchangeHarness()
+    query_number, _ = harness.submit(wait="2000")
+    harness.execute(api.Send(query_number, "a"))
+    status, headers = {
+        "served": (200, {"X_Sheets": "1"}), "error": (500, {}), "full": (503, {"Srv_Untouched": "1"})
+    }[outcome]  # fmt: skip
+    harness.connections[0].accept().send(http_response(status, PAGE, **headers))
+    harness.advance(TRAILING_DATA_DELAY_S)
+    harness.execute(api.Fail(query_number))
+    if outcome == "full":
+        harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
+        return
+    harness.advance(1.9)
+    with pytest.raises(UnusableQueryError):
+        harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
+    harness.advance(ID_RESERVATION_S)
+    harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
+
+
 def test_no_state_remains_of_gone_engines_and_finished_queries() -> None:
     """Guards against a memory leak: engine and query ids are not reused, while addresses are."""
     harness = ExchangeHarness()
