Property of cut pages plays 1,000 steps, so that every history serves a result

Traced: 7 queries under way, 28 calls, 4 cut pages, none ended; with 1,000 steps the same history ends 6 as OK, with 2,000 14.

--- a/tests/test_response_matching.py
+++ b/tests/test_response_matching.py
@@ -22,7 +22,7 @@
 from tests.network import EngineHarness, ServerEnd, http_response
 
 STEP_S = 0.001
-STEPS = 500
+STEPS = 1000
 CONNECTION_LIMITS = (2, 4, 20)
 # Steps between two queries, times the connections: a load that the connections can carry.
 CONNECTION_STEPS_PER_QUERY = 160
