A new process at the address of an engine is not taken for that engine

An engine that came back under its own id, with a new start time or gone and back in one event, kept the listing and the connections of its old process.

Cause: EngineDirectory began a listing only for a new id or a changed address, kept no owner of an address, let Gone and Ready in one event cancel out, and didn't look at start times, which the decisions do.

An address belongs to one engine now: a new listing of an engine that is up ends the one that was there, whose engine is told to the decisions as gone, logged and counted (engines_displaced).

--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from math import inf
 from typing import Any, Protocol
@@ -59,6 +59,13 @@
     overdue_timer: Any = None
 
 
+def _without_displaced(update: api.ListUpdate, displaced: list[str]) -> api.ListUpdate:
+    """The update with engines listed as gone whose address another one has."""
+    others = tuple(entry for entry in update.entries if entry.engine not in displaced)
+    gone = tuple(api.EngineEntry(engine, api.EngineState.GONE) for engine in displaced)
+    return replace(update, entries=others + gone)
+
+
 class Exchange:
     """Owns the controller, the timers it sets, and the open queries."""
 
@@ -197,21 +204,27 @@
 
         The directory goes first, because calls look up an engine's address at the time they are written.
         """
-        for listing in self.directory.update(list_event):
+        changes = self.directory.update(list_event)
+        for listing in changes.ended:
             self.pools.close_ended(listing)
-        if list_event.update.kind is not api.ListKind.CHANGES:
+        update = list_event.update
+        if update.kind is not api.ListKind.CHANGES:
             self._engine_entries.clear()
-        for entry in list_event.update.entries:
+        if changes.displaced:
+            self.counters.add("engines_displaced", len(changes.displaced))
+            self.log("engines_displaced", engines=changes.displaced, cursor=list_event.cursor)
+            update = _without_displaced(update, changes.displaced)
+        for entry in update.entries:
             if entry.state is api.EngineState.GONE:
                 # Engine ids are not reused: keeping entries of engines that have gone would leak memory.
                 previous = self._engine_entries.pop(entry.engine, None)
             else:
                 previous = self._engine_entries.get(entry.engine)
                 self._engine_entries[entry.engine] = entry
-            if list_event.update.kind is api.ListKind.CHANGES:
+            if update.kind is api.ListKind.CHANGES:
                 self._log_engine_state(entry, previous, list_event.cursor)
         self.counters.add("list_updates")
-        self._queue_event(list_event.update)
+        self._queue_event(update)
 
     def _log_engine_state(
         self, entry: api.EngineEntry, previous: api.EngineEntry | None, cursor: int
--- a/tests/network.py
+++ b/tests/network.py
@@ -110,10 +110,10 @@
 def engine_list_event(cursor: int = 1, full: bool = True, **states: str) -> EngineListEvent:
     """Builds an engine list event: ``a="up"`` is engine ``a`` with that state.
 
-    The port of an engine is derived from the first letter of its name.
+    The port of an engine is derived from the first letter of its name; longer names have another one.
     """
     entries = tuple(api.EngineEntry(name, api.EngineState(state)) for name, state in states.items())
-    addresses = {name: ("127.0.0.1", 4000 + ord(name[0])) for name in states}
+    addresses = {name: ("127.0.0.1", (4000 if len(name) == 1 else 5000) + ord(name[0])) for name in states}
     kind = api.ListKind.FULL if full else api.ListKind.CHANGES
     return EngineListEvent(cursor, api.ListUpdate(kind, cursor, entries), addresses)
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -522,7 +522,7 @@
     sent_at = network.clock.seconds()
     _, results = network.start_attempt(wait=30.0)
     connection = first_connection(network)
-    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")):
+    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")).ended:
         network.pools.close_ended(listing)
     connection.send(http_response(202))
     network.advance(MIN_POLL_INTERVAL_S)
--- a/tests/test_engine_calls.py
+++ b/tests/test_engine_calls.py
@@ -330,7 +330,7 @@
     network.call("one")
     connection = network.connections[0].accept()
     connection.send(http_response())
-    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")):
+    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")).ended:
         network.pools.close_ended(listing)
     assert connection.transport.aborted
     network.call("two")
@@ -345,7 +345,7 @@
     network.connections[0].accept().send(http_response())
     moved = engine_list_event(2, full=False, a="up")
     moved.addresses["a"] = ("127.0.0.1", 5000)
-    for listing in network.directory.update(moved):
+    for listing in network.directory.update(moved).ended:
         network.pools.close_ended(listing)
     assert network.connections[0].transport.aborted
     network.listings["a"] = network.listing("a")
@@ -414,7 +414,7 @@
     network.call("one")
     connection = network.connections[0].accept()
     connection.send(http_response())
-    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")):
+    for listing in network.directory.update(engine_list_event(2, a="gone", b="up")).ended:
         network.pools.close_ended(listing)
     network.advance(REUSE_DELAY_S)
     connection.transport.clear()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -468,6 +468,25 @@
     harness.exchange.submit(make_query(), RecordingReply(), harness.clock.seconds())
 
 
+def test_engine_whose_address_another_one_has_is_told_as_gone_and_sent_nothing() -> None:
+    """Guards against work that goes to a new process at the address of one whose end was not told."""
+    harness = ExchangeHarness()
+    query_number, _ = harness.submit()
+    harness.execute(api.Send(query_number, "a"))
+    new = engine_list_event(3, full=False, c="up")
+    new.addresses["c"] = harness.connections[0].address
+    harness.exchange.apply_list_update(new)
+    harness.advance()
+    update = next(event for event in harness.controller.batches[-1] if isinstance(event, api.ListUpdate))
+    assert {entry.engine: entry.state for entry in update.entries} == {
+        "c": api.EngineState.UP, "a": api.EngineState.GONE
+    }  # fmt: skip
+    assert not harness.connections[0].accept().transport.take_written()
+    harness.advance()
+    event = harness.last_event()
+    assert isinstance(event, api.AttemptEnded) and event.outcome is api.Outcome.NOT_STARTED
+
+
 def test_no_state_remains_of_gone_engines_and_finished_queries() -> None:
     """Guards against a memory leak: engine and query ids are not reused, while addresses are."""
     harness = ExchangeHarness()
