A result keeps of its earlier pages only their rows; a response head has 100 fields at most

The encoder marks the place of each page, so that what is cut off is removed without the bodies of the others; they and the header fields of all but the first are dropped when the next page comes. Heads with over 100 fields can't be read. Each of the three new tests fails without its part.

--- a/micahold/protocol/http_messages.py
+++ b/micahold/protocol/http_messages.py
@@ -9,6 +9,8 @@
 # Status line and header section of a response.
 MAX_HEAD_BYTES = 16 * 1024
 MAX_BODY_BYTES = 64 * 1024
+# Each field of a response costs far more memory than its bytes.
+MAX_HEADER_FIELDS = 100
 # Interim (1xx) responses that may precede one final response.
 MAX_INTERIM_RESPONSES = 16
 # A line with a chunk size or a trailer field.
@@ -92,6 +94,8 @@
 
     Raises ``ProtocolError`` if the head is malformed.
     """
+    if head.count(b"\r\n") > MAX_HEADER_FIELDS:
+        raise ProtocolError("too many header fields")
     status_line, *field_lines = head.split(b"\r\n")
     version, _, status_and_reason = status_line.partition(b" ")
     if (
--- a/micahold/protocol/mysql_results.py
+++ b/micahold/protocol/mysql_results.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.mysql_handshake import UTF8_GENERAL_CI, eof_payload
 from micahold.protocol.mysql_packets import encode_lenenc_int, encode_lenenc_string, encode_packet
@@ -46,6 +48,15 @@
 _PAYLOAD_LENGTH = [value.to_bytes(3, "little") for value in range(_SHORT_ROW_BYTES)]
 
 
+@dataclass(slots=True, frozen=True)
+class ResultMark:
+    """A place between two pages of a result."""
+
+    encoded_parts: int
+    sequence_id: int
+    page_bytes: int
+
+
 class ResultSetEncoder:
     """Encodes the complete response to a query from its pages, which are added in order."""
 
@@ -92,6 +103,16 @@
         self._sequence_id = sequence_id
         self._page_bytes += len(page)
 
+    def mark(self) -> ResultMark:
+        """The place behind the pages so far."""
+        return ResultMark(len(self._encoded), self._sequence_id, self._page_bytes)
+
+    def remove_behind(self, mark: ResultMark) -> None:
+        """Removes the pages that were added behind ``mark``."""
+        del self._encoded[mark.encoded_parts :]
+        self._sequence_id = mark.sequence_id
+        self._page_bytes = mark.page_bytes
+
     def finish(self) -> bytes:
         """Returns all packets, from the column count to the final EOF_Packet; ends the use of the encoder."""
         self._encoded.append(encode_packet(self._sequence_id, EOF_PAYLOAD))
--- a/micahold/transport/result_pages.py
+++ b/micahold/transport/result_pages.py
@@ -10,7 +10,7 @@
 
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.http_messages import HttpResponse
-from micahold.protocol.mysql_results import ResultSetEncoder
+from micahold.protocol.mysql_results import ResultMark, ResultSetEncoder
 from micahold.transport.engine_connection import EngineConnection
 
 
@@ -18,10 +18,14 @@
 class _Page:
     response: HttpResponse
     connection: EngineConnection
+    begins_at: ResultMark
 
 
 class ResultPages:
-    """The pages read so far; ``len`` is the number of the next one."""
+    """The pages read so far; ``len`` is the number of the next one.
+
+    Of pages before the last only the encoded rows are kept.
+    """
 
     def __init__(self) -> None:
         self._pages: list[_Page] = []
@@ -39,8 +43,13 @@
         """Adds the next page; raises ``ProtocolError``, and keeps nothing of it, if it can't be used."""
         if response.has_trailing_data:
             raise ProtocolError("data behind a page")
+        begins_at = self._encoder.mark()
         self._encoder.add_page(response.body)
-        self._pages.append(_Page(response, connection))
+        if self._pages:
+            self._pages[-1].response.body = b""
+        if len(self._pages) > 1:
+            self._pages[-1].response.headers = {}
+        self._pages.append(_Page(response, connection, begins_at))
 
     def confirm(self) -> bool:
         """Whether all pages are known to be whole; reads what has arrived behind those that are not."""
@@ -56,10 +65,8 @@
         cut = next((n for n, page in enumerate(self._pages) if page.response.has_trailing_data), None)
         if cut is None:
             return False
+        self._encoder.remove_behind(self._pages[cut].begins_at)
         del self._pages[cut:]
-        self._encoder = ResultSetEncoder()
-        for page in self._pages:
-            self._encoder.add_page(page.response.body)
         return True
 
     def encode(self) -> bytes:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -408,6 +408,18 @@
     assert decode_result_set(result.result_set) == [(b"a", b"1", b"x")] * 2
 
 
+def test_attempt_keeps_of_its_earlier_pages_only_their_rows() -> None:
+    """Guards against memory for the bodies and header fields of all pages of all results."""
+    network = EngineHarness()
+    attempt, _ = network.start_attempt()
+    connection = first_connection(network)
+    for page in range(3):
+        connection.send(http_response(200, PAGE, **_page_header(page)))
+    responses = [page.response for page in attempt._pages._pages]
+    assert [len(response.body) for response in responses] == [0, 0, len(PAGE)]
+    assert not responses[1].headers
+
+
 def test_connection_with_a_fresh_page_makes_no_room_until_a_rest_would_have_come() -> None:
     """Guards against a page that is read again and again while connections are scarce."""
     network = EngineHarness(max_connections=1)
--- a/tests/test_http_messages.py
+++ b/tests/test_http_messages.py
@@ -9,7 +9,13 @@
 from hypothesis import strategies as st
 
 from micahold.protocol.errors import ProtocolError
-from micahold.protocol.http_messages import MAX_HEAD_BYTES, HttpResponse, ResponseParser, encode_request
+from micahold.protocol.http_messages import (
+    MAX_HEAD_BYTES,
+    MAX_HEADER_FIELDS,
+    HttpResponse,
+    ResponseParser,
+    encode_request,
+)
 
 WITH_LENGTH = b"HTTP/1.1 200 OK\r\nX-Sheets: 2\r\nContent-Length: 5\r\n\r\nhello"
 NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
@@ -101,6 +107,7 @@
         b"HTTP/1.1 200 OK\r\n\r\nhello",
         b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\ncontent-length: 4\r\n\r\nhello",
         b"HTTP/1.1 100 Continue\r\n\r\n" * 40 + WITH_LENGTH,
+        b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * (MAX_HEADER_FIELDS + 1) + b"Content-Length: 0\r\n\r\n",
     ],
 )
 def test_malformed_ambiguous_or_oversized_response_is_rejected(data: bytes) -> None:
--- a/tests/test_mysql_protocol.py
+++ b/tests/test_mysql_protocol.py
@@ -203,6 +203,26 @@
     assert encoder.finish() == expected.finish()
 
 
+@given(*[st.lists(st.lists(st.tuples(VALUE, VALUE, VALUE), max_size=4), max_size=4)] * 3)
+def test_pages_that_are_removed_leave_nothing_in_the_result(
+    kept: list[list[Row]], removed: list[list[Row]], added: list[list[Row]]
+) -> None:
+    """Guards against rows of a page that was cut off beside those of its repeat."""
+    encoder, expected = ResultSetEncoder(), ResultSetEncoder()
+
+    def add(pages: list[list[Row]], *encoders: ResultSetEncoder) -> None:
+        for page in pages:
+            for one in encoders:
+                one.add_page(b"".join(b"\t".join(row) + b"\n" for row in page))
+
+    add(kept, encoder, expected)
+    mark = encoder.mark()
+    add(removed, encoder)
+    encoder.remove_behind(mark)
+    add(added, encoder, expected)
+    assert encoder.finish() == expected.finish()
+
+
 def test_rejected_page_does_not_count_towards_the_size_of_the_result() -> None:
     """Guards against a large page that is taken for too large when it is requested again."""
     encoder = ResultSetEncoder()
