A field that an event of the engine list leaves out is unchanged

A class bound to a kind ran on another one by the same root.

Cause: decode_list_event took fields that an entry lacks for their first values, "Later events hold what has changed" notwithstanding; the entry replaced the known one, and the run was counted for the first zone.

The decoder names the fields that an entry leaves out, and KnownEngines completes it with what was told before, ahead of start times, directory and decisions. Engines that count as gone since another one has their address keep their fields too, and an entry "Gone" has its start time on the front's clock.

--- a/micahold/program/engine_start_times.py
+++ b/micahold/program/engine_start_times.py
@@ -35,7 +35,9 @@
     def _convert_entry(
         self, entry: api.EngineEntry, unix_now: float, now: float, is_news: bool
     ) -> api.EngineEntry:
-        if entry.state is api.EngineState.GONE or entry.started_at <= 0:
+        if entry.state is api.EngineState.GONE:
+            return replace(entry, started_at=self._known.pop(entry.engine, (0.0, 0.0))[1])
+        if entry.started_at <= 0:
             self._known.pop(entry.engine, None)
             return entry
         unix_start, start = self._known.get(entry.engine, (0.0, 0.0))
--- a/micahold/program/front.py
+++ b/micahold/program/front.py
@@ -15,6 +15,7 @@
 from micahold.program.collector import GarbageCollector
 from micahold.program.configuration import Configuration
 from micahold.program.engine_start_times import EngineStartTimes
+from micahold.program.known_engines import KnownEngines
 from micahold.program.listening import listen_despite_shortage
 from micahold.program.log import Log
 from micahold.protocol.engine_list import EngineListEvent, parse_list_event
@@ -97,6 +98,7 @@
         self._stop = stop
         self._now = now
         self._unix_now = unix_now
+        self._known_engines = KnownEngines()
         self._start_times = EngineStartTimes(configuration.settings.rules.cold_duration_s)
         self.phase = Phase.CONFIGURED
         settings = configuration.settings
@@ -195,6 +197,7 @@
         return True
 
     def _apply_engine_list(self, list_event: EngineListEvent, is_news: bool) -> None:
+        list_event = self._known_engines.complete(list_event)
         update = self._start_times.convert(list_event.update, self._unix_now(), self._now(), is_news)
         self.exchange.apply_list_update(replace(list_event, update=update))
 
--- a/micahold/protocol/engine_list.py
+++ b/micahold/protocol/engine_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
@@ -18,13 +18,27 @@
 }
 
 
+# Names of the fields of an entry in events, and in ``EngineEntry``.
+ENTRY_FIELDS = {
+    "locality": "zone",
+    "flavor": "kind",
+    "cell": "cell",
+    "up_since_ms": "started_at",
+    "size": "weight",
+}
+
+
 @dataclass(slots=True, frozen=True)
 class EngineListEvent:
-    """One numbered event: the update for the decisions, and the addresses of the engines that have one."""
+    """One numbered event: the update for the decisions, and the addresses of the engines that have one.
+
+    ``absent_fields`` names, by engine, the fields of its entry that the event leaves out.
+    """
 
     cursor: int
     update: api.ListUpdate
     addresses: dict[str, tuple[str, int]]
+    absent_fields: dict[str, frozenset[str]] = field(default_factory=dict)
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -52,7 +66,7 @@
     """
     try:
         nodes = event["nodes"]
-        entries, addresses = [], {}
+        entries, addresses, absent_fields = [], {}, {}
         for member in nodes["members"]:
             engine = str(member["id"])
             state = STATE_BY_PHASE.get(member["phase"])
@@ -60,6 +74,9 @@
                 raise ProtocolError(f"unknown phase {member['phase']!r}")
             if member.get("host_port"):
                 addresses[engine] = parse_address(str(member["host_port"]))
+            absent = frozenset(name for key, name in ENTRY_FIELDS.items() if key not in member)
+            if absent:
+                absent_fields[engine] = absent
             entries.append(
                 api.EngineEntry(
                     engine=engine,
@@ -73,7 +90,7 @@
             )
         list_kind = api.ListKind.FULL if nodes.get("complete") else api.ListKind.CHANGES
         update = api.ListUpdate(list_kind, int(nodes.get("revision") or 0), tuple(entries))
-        return EngineListEvent(int(event["cursor"]), update, addresses)
+        return EngineListEvent(int(event["cursor"]), update, addresses, absent_fields)
     except ProtocolError:
         raise
     except (AttributeError, KeyError, TypeError, ValueError) as error:
--- a/micahold/routing/exchange.py
+++ b/micahold/routing/exchange.py
@@ -59,13 +59,6 @@
     overdue_timer: Any = None
 
 
-def _without_displaced(update: api.ListUpdate, displaced: list[str]) -> api.ListUpdate:
-    """The update with engines listed as gone whose address another one has."""
-    others = tuple(entry for entry in update.entries if entry.engine not in displaced)
-    gone = tuple(api.EngineEntry(engine, api.EngineState.GONE) for engine in displaced)
-    return replace(update, entries=others + gone)
-
-
 class Exchange:
     """Owns the controller, the timers it sets, and the open queries."""
 
@@ -208,12 +201,12 @@
         for listing in changes.ended:
             self.pools.close_ended(listing)
         update = list_event.update
-        if update.kind is not api.ListKind.CHANGES:
-            self._engine_entries.clear()
         if changes.displaced:
             self.counters.add("engines_displaced", len(changes.displaced))
             self.log("engines_displaced", engines=changes.displaced, cursor=list_event.cursor)
-            update = _without_displaced(update, changes.displaced)
+            update = self._without_displaced(update, changes.displaced)
+        if update.kind is not api.ListKind.CHANGES:
+            self._engine_entries.clear()
         for entry in update.entries:
             if entry.state is api.EngineState.GONE:
                 # Engine ids are not reused: keeping entries of engines that have gone would leak memory.
@@ -226,6 +219,13 @@
         self.counters.add("list_updates")
         self._queue_event(update)
 
+    def _without_displaced(self, update: api.ListUpdate, displaced: list[str]) -> api.ListUpdate:
+        """The update with engines listed as gone whose address another one has."""
+        known = {**self._engine_entries, **{entry.engine: entry for entry in update.entries}}
+        others = tuple(entry for entry in update.entries if entry.engine not in displaced)
+        gone = tuple(replace(known[engine], state=api.EngineState.GONE) for engine in displaced)
+        return replace(update, entries=others + gone)
+
     def _log_engine_state(
         self, entry: api.EngineEntry, previous: api.EngineEntry | None, cursor: int
     ) -> None:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from micahold import interface as api
+from micahold.protocol.engine_list import EngineListEvent
 from micahold.protocol.query_fields import ClientQuery, parse_query
 from micahold.routing.exchange import Exchange
 from micahold.transport.clients import UnusableQueryError
@@ -471,6 +473,10 @@
 def test_engine_whose_address_another_one_has_is_told_as_gone_and_sent_nothing() -> None:
     """Guards against work that goes to a new process at the address of one whose end was not told."""
     harness = ExchangeHarness()
+    known = api.EngineEntry("a", zone=1, cell=2)
+    harness.exchange.apply_list_update(
+        EngineListEvent(2, api.ListUpdate(api.ListKind.CHANGES, 2, (known,)), {})
+    )
     query_number, _ = harness.submit()
     harness.execute(api.Send(query_number, "a"))
     new = engine_list_event(3, full=False, c="up")
@@ -478,9 +484,7 @@
     harness.exchange.apply_list_update(new)
     harness.advance()
     update = next(event for event in harness.controller.batches[-1] if isinstance(event, api.ListUpdate))
-    assert {entry.engine: entry.state for entry in update.entries} == {
-        "c": api.EngineState.UP, "a": api.EngineState.GONE
-    }  # fmt: skip
+    assert update.entries == (api.EngineEntry("c"), replace(known, state=api.EngineState.GONE))
     assert not harness.connections[0].accept().transport.take_written()
     harness.advance()
     event = harness.last_event()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,6 +12,7 @@
 from twisted.internet import error
 from twisted.internet.testing import MemoryReactorClock
 
+from micahold import interface as api
 from micahold.counters import Counters
 from micahold.program.collector import CHECK_INTERVAL_S, MAX_GROWTH_WHEN_BUSY, GarbageCollector
 from micahold.program.configuration import MAX_ACCEPTS_PER_ITERATION, parse_configuration
@@ -306,3 +307,25 @@
         error.CannotListenError("127.0.0.1", 4100, OSError(errno.EADDRINUSE, "in use"))
     )
     assert "127.0.0.1:4100" in text and "\n" not in text
+
+
+def test_short_entry_of_the_channel_changes_only_what_it_names(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a front that takes a field which an event leaves out for its first value."""
+    harness = FrontHarness(monkeypatch)
+    told: list[api.Event] = []
+    harness.front.exchange.observer = told.append
+    whole = b'{"id":"s-9","host_port":"127.0.0.1:4209","phase":"Ready","cell":3,"size":2}'
+    for number, member in ((8, whole), (9, b'{"id":"s-9","phase":"Gone"}')):
+        event = b'{"cursor":%d,"nodes":{"revision":%d,"complete":false,"members":[%s]}}' % (
+            number,
+            number,
+            member,
+        )
+        connection = harness.connections[0]
+        if connection.protocol is None:
+            connection.accept().send(b"HTTP/1.1 200 OK\r\n\r\n")
+        connection.send(b"id: %d\ndata: %s\n\n" % (number, event))
+    entries = [update.entries[0] for update in told if isinstance(update, api.ListUpdate)]
+    assert [(entry.state, entry.cell, entry.weight) for entry in entries] == [
+        (api.EngineState.UP, 3, 2.0), (api.EngineState.GONE, 3, 2.0)
+    ]  # fmt: skip
