--- a/micahold/transport/channel_call.py
+++ b/micahold/transport/channel_call.py
@@ -11,7 +11,13 @@
 
 from micahold.protocol.errors import ProtocolError
 from micahold.protocol.event_stream import EventStreamParser, ServerSentEvent
-from micahold.protocol.http_messages import ChunkedDecoder, encode_request, is_chunked, take_response_head
+from micahold.protocol.http_messages import (
+    MAX_INTERIM_RESPONSES,
+    ChunkedDecoder,
+    encode_request,
+    is_chunked,
+    take_response_head,
+)
 
 CHANNEL_PATH = b"/cmd/next"
 # A call that is not answered for this long is given up. Until then it is kept beside newer calls.
@@ -145,6 +151,7 @@
         self._buffer = bytearray()
         self._chunks: ChunkedDecoder | None = None
         self._in_body = False
+        self._interim_responses = 0
         self._events = EventStreamParser()
 
     def connectionMade(self) -> None:
@@ -178,8 +185,13 @@
             self.call.end_by_abort()
 
     def _read_head(self) -> bool:
-        """Reads the head of the response; False if it is incomplete."""
+        """Reads the head of the response, after those of interim ones; False if it is incomplete."""
         head = take_response_head(self._buffer)
+        while head is not None and head.status < 200:
+            self._interim_responses += 1
+            if self._interim_responses > MAX_INTERIM_RESPONSES:
+                raise ProtocolError("too many interim responses")
+            head = take_response_head(self._buffer)
         if head is None:
             return False
         if head.status != 200:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -7,6 +7,7 @@
 import pytest
 
 from micahold.counters import Counters
+from micahold.protocol.http_messages import MAX_INTERIM_RESPONSES
 from micahold.transport.channel import (
     CONNECT_WAIT_S,
     MAX_ANSWER_WAIT_S,
@@ -185,6 +186,27 @@
     assert network.delivered == [b"unreadable?", b"unreadable?", b"e5"]
 
 
+@pytest.mark.parametrize("step", [1, 7, 1000])
+@pytest.mark.parametrize(
+    "ahead", [b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", b"HTTP/1.1 100 Continue\r\n\r\n" * 3]
+)
+def test_interim_responses_ahead_of_the_stream_are_passed_over(ahead: bytes, step: int) -> None:
+    """Guards against a front that gives a call up for a 1xx response and never hears of a drain."""
+    network = ChannelNetwork()
+    connection = network.connections[0].accept()
+    data = ahead + HEAD + event(4)
+    for start in range(0, len(data), step):
+        connection.send(data[start : start + step])
+    assert network.delivered == [b"e4"] and not connection.transport.aborted
+
+
+def test_interim_responses_without_end_are_bounded() -> None:
+    network = ChannelNetwork()
+    connection = network.connections[0].accept()
+    connection.send(b"HTTP/1.1 100 Continue\r\n\r\n" * (MAX_INTERIM_RESPONSES + 1))
+    assert connection.transport.aborted
+
+
 class SlowServer:
     """The server's end of a channel: connections come up late, and calls are answered late or never."""
 
