An event stream may begin with a byte order mark

The format (HTML standard, 9.2) has the mark dropped. It is dropped from the first line now. test_event_behind_a_byte_order_mark_is_delivered failed before in its 3 splits.

--- a/micahold/protocol/event_stream.py
+++ b/micahold/protocol/event_stream.py
@@ -8,6 +8,8 @@
 
 # Bounds a line, and the data of one event.
 MAX_LINE_BYTES = 4 * 1024 * 1024
+# A stream may begin with one, which is no part of its first line.
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,6 +28,7 @@
         self._unfinished_line = bytearray()
         # Data ended in a carriage return: a line feed next is part of that line end.
         self._skip_line_feed = False
+        self._is_first_line = True
         self._last_event_id = b""
         self._data_lines: list[bytes] = []
         self._data_bytes = 0
@@ -57,6 +60,9 @@
 
     def _process_line(self, line: bytes) -> ServerSentEvent | None:
         """Processes one line; returns an event if the line is the empty one that ends an event with data."""
+        if self._is_first_line:
+            self._is_first_line = False
+            line = line.removeprefix(BYTE_ORDER_MARK)
         if not line:
             data_lines = self._data_lines
             self._data_lines = []
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -207,6 +207,17 @@
     assert connection.transport.aborted
 
 
+@pytest.mark.parametrize("step", [1, 2, 1000])
+def test_event_behind_a_byte_order_mark_is_delivered(step: int) -> None:
+    """Guards against a first event whose number is hidden by a byte order mark, which the format allows."""
+    network = ChannelNetwork()
+    connection = network.connections[0].accept()
+    data = HEAD + b"\xef\xbb\xbf" + event(4) + event(5)
+    for start in range(0, len(data), step):
+        connection.send(data[start : start + step])
+    assert network.delivered == [b"e4", b"e5"]
+
+
 class SlowServer:
     """The server's end of a channel: connections come up late, and calls are answered late or never."""
 
