Soak: the planted fault of short lengths is planted where pages are confirmed

The plan of "lengths" no longer showed its planted fault since results wait for the ends of their pages: the plant replaced the response that the connection confirms, so nothing was served at all. The plant now passes over what follows a page in ResultPages, which is what it stands for.

--- a/micahold/laboratory/planted_faults.py
+++ b/micahold/laboratory/planted_faults.py
@@ -84,14 +84,15 @@
 
 def _plant_lengths() -> None:
     """What follows a page is passed over."""
-    from micahold.transport.attempts import Attempt
+    from micahold.transport.result_pages import ResultPages
 
-    add_page = Attempt._add_page
+    add = ResultPages.add
 
-    def add_any_page(attempt: Attempt, response: Any) -> None:
-        add_page(attempt, replace(response, has_trailing_data=False))
+    def add_any_page(pages: ResultPages, response: Any, connection: Any) -> None:
+        add(pages, replace(response, has_trailing_data=False), connection)
 
-    setattr(Attempt, "_add_page", add_any_page)  # noqa: B010
+    setattr(ResultPages, "add", add_any_page)  # noqa: B010
+    setattr(ResultPages, "confirm", lambda pages: True)  # noqa: B010
 
 
 def _plant_stops() -> None:
