Error codes of the MySQL protocol stand in a module of their own

Cause: clients.py named the codes that it sends, and mysql_handshake.py listed the same numbers bare beside their SQLSTATE. Change: an enum and one table in protocol/mysql_errors.py; error_payload takes the enum, two tests name the codes. Two codes that are never sent (1053, 1203) are out of the table. Measured: the tests of the protocol and of the sessions pass as before.

--- a/micahold/protocol/mysql_handshake.py
+++ b/micahold/protocol/mysql_handshake.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from micahold.protocol.errors import ProtocolError
+from micahold.protocol.mysql_errors import GENERAL_SQL_STATE, SQL_STATES, ErrorCode
 
 SERVER_VERSION = b"5.7.0-micahold"
 AUTH_PLUGIN_NAME = b"mysql_native_password"
@@ -33,14 +34,6 @@
     | CLIENT_PLUGIN_AUTH
 )
 
-# SQLSTATE by error code.
-SQL_STATES = {
-    1040: b"08004", 1043: b"08S01", 1045: b"28000", 1047: b"08S01", 1049: b"42000",
-    1053: b"08S01", 1064: b"42000", 1094: b"HY000", 1105: b"HY000", 1153: b"08S01", 1156: b"08S01",
-    1159: b"08S01",
-    1203: b"42000", 1226: b"42000", 1317: b"70100",
-}  # fmt: skip
-
 
 @dataclass(slots=True, frozen=True)
 class HandshakeResponse:
@@ -117,7 +110,7 @@
     return b"\xfe\0\0" + SERVER_STATUS_AUTOCOMMIT.to_bytes(2, "little")
 
 
-def error_payload(code: int, text: str) -> bytes:
-    """Encodes the payload of an ERR_Packet; codes that are not listed have the SQLSTATE HY000."""
-    sql_state = SQL_STATES.get(code, b"HY000")
+def error_payload(code: ErrorCode, text: str) -> bytes:
+    """Encodes the payload of an ERR_Packet."""
+    sql_state = SQL_STATES.get(code, GENERAL_SQL_STATE)
     return b"\xff" + code.to_bytes(2, "little") + b"#" + sql_state + text.encode()
--- a/micahold/transport/clients.py
+++ b/micahold/transport/clients.py
@@ -20,6 +20,7 @@
 
 from micahold.counters import Counters
 from micahold.protocol.errors import ProtocolError
+from micahold.protocol.mysql_errors import ErrorCode
 from micahold.protocol.mysql_handshake import (
     error_payload,
     handshake_payload,
@@ -63,21 +64,6 @@
 # A session with this many unusable queries is closed.
 MAX_UNUSABLE_QUERIES = 3
 
-# MySQL error codes under the names of the MySQL server.
-ER_CON_COUNT_ERROR = 1040
-ER_HANDSHAKE_ERROR = 1043
-ER_BAD_DB_ERROR = 1049
-ER_ACCESS_DENIED_ERROR = 1045
-ER_UNKNOWN_COM_ERROR = 1047
-ER_PARSE_ERROR = 1064
-ER_NO_SUCH_THREAD = 1094
-ER_UNKNOWN_ERROR = 1105
-ER_NET_PACKET_TOO_LARGE = 1153
-ER_USER_LIMIT_REACHED = 1226
-ER_QUERY_INTERRUPTED = 1317
-ER_NET_PACKETS_OUT_OF_ORDER = 1156
-ER_NET_READ_INTERRUPTED = 1159
-
 
 class UnusableQueryError(Exception):
     """A query that is rejected as it stands; the text is sent to the client."""
@@ -147,7 +133,7 @@
         transport.registerProducer(self, True)
         self._connected_at_earliest = self._earliest_arrival()
         if not self.sessions.register(self):
-            self._send(error_payload(ER_CON_COUNT_ERROR, "Too many connections"))
+            self._send(error_payload(ErrorCode.CON_COUNT_ERROR, "Too many connections"))
             self._close()
             return
         self._send(handshake_payload(self.connection_id, self.sessions.scramble(self.connection_id)))
@@ -165,14 +151,14 @@
                 self._reader.check_next_command()  # what follows may be the rest of the open query
         except ProtocolError as error:
             self.sessions.counters.add("client_packets_bad")
-            self._close_with_error(ER_NET_PACKET_TOO_LARGE, str(error))
+            self._close_with_error(ErrorCode.NET_PACKET_TOO_LARGE, str(error))
         except Exception as error:  # closes this session only
             self.sessions.log("session_error", error=repr(error), connection=self.connection_id)
-            self._close_with_error(ER_UNKNOWN_ERROR, "internal error")
+            self._close_with_error(ErrorCode.UNKNOWN_ERROR, "internal error")
         if not self._update_buffered_bytes():
             # Guards against many clients that each send a little less than the limit of one session.
             self.sessions.counters.add("client_memory_short")
-            self._close_with_error(ER_NET_PACKET_TOO_LARGE, "no memory for this")
+            self._close_with_error(ErrorCode.NET_PACKET_TOO_LARGE, "no memory for this")
         self._update_timeout()
 
     def _update_buffered_bytes(self) -> bool:
@@ -217,7 +203,9 @@
                 self._log_close("idle")
         else:
             self.sessions.counters.add("client_sessions_silent")
-            self._close_with_error(ER_NET_READ_INTERRUPTED, "Got timeout reading communication packets")
+            self._close_with_error(
+                ErrorCode.NET_READ_INTERRUPTED, "Got timeout reading communication packets"
+            )
 
     def is_evictable(self, now: float) -> bool:
         """Whether the session may be closed to make room: no query is open and there was time to send one."""
@@ -228,7 +216,7 @@
         """Whether the client has sent a command since its login."""
         return self._has_sent_command
 
-    def _close_with_error(self, code: int, text: str) -> None:
+    def _close_with_error(self, code: ErrorCode, text: str) -> None:
         """Closes the session after an error, which is the answer to the open query if there is one."""
         if self._closing:
             return
@@ -328,7 +316,7 @@
             left_bytes -= len(payload)
             if sequence != (0 if self._logged_in else 1):
                 self.sessions.counters.add("client_packets_bad")
-                self._close_with_error(ER_NET_PACKETS_OUT_OF_ORDER, "Got packets out of order")
+                self._close_with_error(ErrorCode.NET_PACKETS_OUT_OF_ORDER, "Got packets out of order")
                 return
             self._sequence = sequence + 1
             if self._logged_in:
@@ -351,14 +339,14 @@
         try:
             login = parse_handshake_response(payload)
         except ProtocolError as error:
-            self._send(error_payload(ER_HANDSHAKE_ERROR, str(error)))
+            self._send(error_payload(ErrorCode.HANDSHAKE_ERROR, str(error)))
             self._close()
             return
         if login.user != USER or login.auth_response:
-            self._send(error_payload(ER_ACCESS_DENIED_ERROR, "Access denied"))
+            self._send(error_payload(ErrorCode.ACCESS_DENIED_ERROR, "Access denied"))
             self._close()
         elif login.database not in (b"", DATABASE):
-            self._send(error_payload(ER_BAD_DB_ERROR, "Unknown database"))
+            self._send(error_payload(ErrorCode.BAD_DB_ERROR, "Unknown database"))
             self._close()
         else:
             self._logged_in = True
@@ -375,9 +363,9 @@
             self._close()
         elif command == bytes((COM_INIT_DB,)):
             known = argument == DATABASE
-            self._send(ok_payload() if known else error_payload(ER_BAD_DB_ERROR, "Unknown database"))
+            self._send(ok_payload() if known else error_payload(ErrorCode.BAD_DB_ERROR, "Unknown database"))
         else:
-            self._send(error_payload(ER_UNKNOWN_COM_ERROR, "Unknown command"))
+            self._send(error_payload(ErrorCode.UNKNOWN_COM_ERROR, "Unknown command"))
 
     def _handle_query(self, text: bytes) -> None:
         """Executes a KILL QUERY, or submits the query to the handler."""
@@ -385,26 +373,28 @@
         if target is not None:
             known = self.sessions.kill_query(target)
             self._send(
-                ok_payload() if known else error_payload(ER_NO_SUCH_THREAD, f"Unknown thread id: {target}")
+                ok_payload()
+                if known
+                else error_payload(ErrorCode.NO_SUCH_THREAD, f"Unknown thread id: {target}")
             )
             return
         self.sessions.counters.add("queries_received")
         if self.sessions.is_closing:
             self.sessions.counters.add("queries_refused_at_exit")
-            self._send(error_payload(ER_CON_COUNT_ERROR, "Server shutdown in progress"))
+            self._send(error_payload(ErrorCode.CON_COUNT_ERROR, "Server shutdown in progress"))
             return
         try:
             arrived_at = self._reader.packet_arrived_at
             self.query_number = self.sessions.handler.submit(parse_query(text), self, arrived_at)
         except ProtocolError as error:
-            self._reject_query(ER_PARSE_ERROR, str(error))
+            self._reject_query(ErrorCode.PARSE_ERROR, str(error))
         except ExpiredQueryError as error:
             self.sessions.counters.add("queries_expired_unread")
-            self._send(error_payload(ER_UNKNOWN_ERROR, str(error)))
+            self._send(error_payload(ErrorCode.UNKNOWN_ERROR, str(error)))
         except UnusableQueryError as error:
-            self._reject_query(ER_UNKNOWN_ERROR, str(error))
+            self._reject_query(ErrorCode.UNKNOWN_ERROR, str(error))
 
-    def _reject_query(self, code: int, reason: str) -> None:
+    def _reject_query(self, code: ErrorCode, reason: str) -> None:
         """Sends an error at once, and closes the session after MAX_UNUSABLE_QUERIES.
 
         An unusable query costs as much work as a good one, so a session must not go on sending them.
@@ -421,7 +411,7 @@
         if self.query_number is None:
             return False
         self._drop_query()
-        self._send_final_error(ER_QUERY_INTERRUPTED, "Query execution was interrupted")
+        self._send_final_error(ErrorCode.QUERY_INTERRUPTED, "Query execution was interrupted")
         return True
 
     def _drop_query(self) -> None:
@@ -437,12 +427,12 @@
 
     def refuse(self, retry_after: float) -> None:
         hint = f"after={round(retry_after * 1000)}" if retry_after > 0 else "try again"
-        self._send_final_error(ER_USER_LIMIT_REACHED, hint)
+        self._send_final_error(ErrorCode.USER_LIMIT_REACHED, hint)
 
     def fail(self, text: str) -> None:
-        self._send_final_error(ER_UNKNOWN_ERROR, text)
+        self._send_final_error(ErrorCode.UNKNOWN_ERROR, text)
 
-    def _send_final_error(self, code: int, text: str) -> None:
+    def _send_final_error(self, code: ErrorCode, text: str) -> None:
         self._send_final(encode_packet(self._sequence, error_payload(code, text)))
 
     def _send_final(self, data: bytes) -> None:
--- a/tests/test_arrival_times.py
+++ b/tests/test_arrival_times.py
@@ -11,6 +11,7 @@
 from micahold.laboratory.emulated_engine import EmulatedEngine
 from micahold.laboratory.fault_proxy import FaultProxy
 from micahold.laboratory.sql_client import SqlSession
+from micahold.protocol.mysql_errors import ErrorCode
 from micahold.protocol.mysql_handshake import error_payload, handshake_payload, ok_payload
 from micahold.protocol.mysql_packets import encode_packet
 
@@ -88,7 +89,7 @@
         await reader.read(1000)
         writer.write(encode_packet(2, ok_payload()))
         await reader.read(1000)
-        writer.write(encode_packet(1, error_payload(1105, "failed")))
+        writer.write(encode_packet(1, error_payload(ErrorCode.UNKNOWN_ERROR, "failed")))
         answered_at.append(time.monotonic())
         time.sleep(PROCESS_DELAY_S)
         writer.close()
--- a/tests/test_mysql_protocol.py
+++ b/tests/test_mysql_protocol.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from micahold.protocol.errors import ProtocolError
+from micahold.protocol.mysql_errors import ErrorCode
 from micahold.protocol.mysql_handshake import (
     CLIENT_CONNECT_WITH_DB,
     CLIENT_PROTOCOL_41,
@@ -146,7 +147,7 @@
 
 
 def test_error_payload_has_code_sqlstate_and_message() -> None:
-    payload = error_payload(1226, "after=20")
+    payload = error_payload(ErrorCode.USER_LIMIT_REACHED, "after=20")
     assert payload[:3] == b"\xff\xca\x04"
     assert payload[3:] == b"#42000after=20"
 
