--- a/micahold/laboratory/planted_faults.py
+++ b/micahold/laboratory/planted_faults.py
@@ -51,8 +51,10 @@
 def _plant_copies() -> None:
     """What comes on a connection is the answer to its call, whatever it names and whenever it came."""
     from micahold.transport import connection_pools, engine_connection, response_matching
+    from micahold.transport.result_pages import ResultPages
 
     engine_connection.REUSE_DELAY_S = 0.0
+    setattr(ResultPages, "confirm", lambda pages: True)  # noqa: B010
     setattr(connection_pools.EngineConnectionPools, "_take_idle", _take_any_idle)  # noqa: B010
     for name in ("_is_status", "_is_page"):
         setattr(response_matching, name, lambda *arguments: True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,8 +20,8 @@
 MAX_RUNS_AT_ONCE = 4
 
 
-# A stop is short, and shows only where a client sends in it.
-CLIENTS = {"stops": 48}
+# A stop is short, and shows only where a client sends in it; a copy only where another call follows soon.
+CLIENTS = {"stops": 48, "copies": 48}
 DEFAULT_CLIENTS = 16
 
 
