The wait for the ends of pages runs on the queue of timers

Cause: each served query set a delayed call of the reactor, which compares them in Python code; attempts have a queue of their own timers for that. Change: the wait is a timer of that queue.

--- a/micahold/transport/attempts.py
+++ b/micahold/transport/attempts.py
@@ -312,9 +312,7 @@
         elif self._remove_cut_pages():
             self._handle_unreadable(len(self._pages))
         else:
-            self._delayed_request = self.pools.clock.callLater(
-                TRAILING_DATA_DELAY_S, self._finish_if_confirmed
-            )
+            self._delayed_request = self.timers.call_later(TRAILING_DATA_DELAY_S, self._finish_if_confirmed)
 
     def _remove_cut_pages(self) -> bool:
         """Removes a page that was cut off, and all after it; False if there is none."""
